Add the HTTP server

Callers and backend servers reach a node through HTTP/1.1, so everything that they can make it hold needs a bound. The server parses with Boost.Beast's parser and is stricter where two readers could place the end of a message differently: repeated Content-Length, codings other than chunked, repeated or missing Host. Trailers are dropped. A read stays outstanding while a request is handled, so an abandoned request is reported at once; pipelined requests wait in the buffer. One timer checks the time bounds of all connections.

--- /dev/null
+++ b/lib/transport/http_server.cc
@@ -0,0 +1,613 @@
+/// \file
+/// HTTP/1.1 server. One read is outstanding on each connection nearly all the
+/// time, also while its request is handled, so that a closed connection is
+/// noticed at once. Pipelined requests wait in the read buffer and are handled
+/// in turn. Time bounds are checked by one timer for all connections.
+#include "sesamespread/transport/http_server.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <optional>
+#include <system_error>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "http_wire.h"
+#include "sesamespread/protocol/http_fields.h"
+
+namespace sesamespread::transport {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::steady_clock;
+
+constexpr std::size_t kHeaderReadBytes = 4 << 10;
+constexpr std::size_t kBodyReadBytes = 64 << 10;
+
+/// After a final answer the connection is read for this long, because closing
+/// it with unread bytes would reset it and could destroy the answer.
+constexpr state::Duration kLingerTimeout = std::chrono::seconds(1);
+constexpr std::size_t kLingerBytes = 4 << 20;
+
+/// Connections over the bound that may be waiting for their refusal to be
+/// read; further ones are closed without an answer.
+constexpr std::size_t kMaxRefusedConnections = 64;
+
+/// Pause after a failed accept, for example without free file descriptors.
+constexpr state::Duration kAcceptPause = std::chrono::milliseconds(20);
+
+constexpr state::Duration kMinSweepInterval = std::chrono::milliseconds(5);
+constexpr state::Duration kMaxSweepInterval = std::chrono::milliseconds(250);
+
+/// Suggested to callers that met the bound on connections.
+constexpr std::chrono::seconds kBusyRetryAfter{1};
+
+constexpr steady_clock::time_point kNever = steady_clock::time_point::max();
+
+HttpResponse ProblemResponse(state::ResultCode code, std::string_view detail) {
+  const state::ResultCodeInfo& info = state::InfoOf(code);
+  const bool busy = code == state::ResultCode::kNodeBusy;
+  HttpResponse response;
+  response.status = static_cast<std::uint16_t>(info.http_status);
+  response.headers = {{"Content-Type", "application/problem+json"},
+                      {std::string(protocol::kResultField),
+                       std::to_string(static_cast<int>(code))}};
+  if (busy) {
+    response.headers.push_back(
+        {"Retry-After", std::to_string(kBusyRetryAfter.count())});
+  }
+  response.body = protocol::ProblemDetails(
+      code, info.run_state, detail, {},
+      busy ? state::Duration(kBusyRetryAfter) : state::Duration(0));
+  return response;
+}
+
+state::ResultCode CodeOf(wire::ParseStatus status) {
+  switch (status) {
+    case wire::ParseStatus::kHeaderTooLarge:
+      return state::ResultCode::kHeaderTooLarge;
+    case wire::ParseStatus::kBodyTooLarge:
+      return state::ResultCode::kBodyTooLarge;
+    default:
+      return state::ResultCode::kMalformedRequest;
+  }
+}
+
+bool AsksToClose(const HttpResponse& response) {
+  const std::string_view value = FieldOf(response.headers, "Connection");
+  return boost::beast::iequals({value.data(), value.size()}, "close");
+}
+
+}  // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& context,
+       const HttpServerOptions& options,
+       Handler handler)
+      : acceptor_(context),
+        accept_timer_(context),
+        sweep_timer_(context),
+        options_(options),
+        handler_(std::move(handler)) {}
+
+  void Listen(const state::Endpoint& endpoint);
+  void StopAccepting();
+  void Close();
+
+  std::uint16_t port() const { return port_; }
+  std::size_t connection_count() const {
+    return connections_.size() - refused_;
+  }
+
+ private:
+  class Connection;
+  class Exchange;
+
+  void Accept();
+  void OnAccept(const error_code& error, tcp::socket socket);
+  void ScheduleSweep();
+  void Sweep();
+  state::Duration SweepInterval() const;
+
+  tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
+  boost::asio::steady_timer sweep_timer_;
+  const HttpServerOptions options_;
+  Handler handler_;
+  std::uint16_t port_ = 0;
+  /// Includes the `refused_` connections over the bound.
+  std::unordered_set<std::shared_ptr<Connection>> connections_;
+  std::size_t refused_ = 0;
+  bool stopping_ = false;
+  bool sweep_scheduled_ = false;
+};
+
+/// A caller's connection.
+class HttpServer::Impl::Connection
+    : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> server, tcp::socket socket)
+      : server_(std::move(server)), socket_(std::move(socket)) {}
+
+  void Start() {
+    SetOptions();
+    deadline_ = steady_clock::now() + server_->options_.idle_timeout;
+    StartRead();
+  }
+
+  /// Answers with "node busy" without reading a request.
+  void Refuse() {
+    refused_ = true;
+    SetOptions();
+    Fail(state::ResultCode::kNodeBusy,
+         fmt::format("the bound of {} connections is reached",
+                     server_->options_.max_connections));
+  }
+
+  bool refused() const { return refused_; }
+
+  /// Closes the connection if it is between requests.
+  void CloseIfIdle() {
+    error_code error;
+    if (phase_ == Phase::kIdle && socket_.available(error) == 0)
+      Close();
+  }
+
+  void CheckDeadline(steady_clock::time_point now) {
+    if (now < deadline_)
+      return;
+    if (phase_ == Phase::kReceiving) {
+      Fail(state::ResultCode::kRequestTimeout,
+           "the request was not received in time");
+      return;
+    }
+    // A reset frees what the kernel still holds for a reader that is stuck.
+    error_code error;
+    if (phase_ == Phase::kWriting)
+      socket_.set_option(tcp::socket::linger(true, 0), error);
+    Close();
+  }
+
+  void Close() {
+    if (phase_ == Phase::kClosed)
+      return;
+    phase_ = Phase::kClosed;
+    error_code error;
+    socket_.close(error);
+    const std::function<void()> dropped = std::move(on_abandoned_);
+    on_abandoned_ = nullptr;
+    server_->refused_ -= refused_ ? 1 : 0;
+    server_->connections_.erase(shared_from_this());
+  }
+
+  void Respond(std::uint64_t exchange, HttpResponse response) {
+    if (phase_ != Phase::kHandling || exchange != exchange_)
+      return;
+    const std::function<void()> dropped = std::move(on_abandoned_);
+    on_abandoned_ = nullptr;
+    Answer(std::move(response));
+  }
+
+  void OnAbandoned(std::uint64_t exchange, std::function<void()> callback) {
+    if (exchange != exchange_)
+      return;
+    if (phase_ == Phase::kHandling)
+      on_abandoned_ = std::move(callback);
+    else if (abandoned_)
+      boost::asio::post(socket_.get_executor(), std::move(callback));
+  }
+
+  /// The handler gave up its exchange without an answer.
+  void OnExchangeDropped(std::uint64_t exchange) {
+    if (phase_ == Phase::kHandling && exchange == exchange_)
+      Close();
+  }
+
+ private:
+  enum class Phase : std::uint8_t {
+    kIdle,
+    kReceiving,
+    kHandling,
+    kWriting,
+    kLingering,
+    kClosed,
+  };
+
+  void SetOptions() {
+    error_code error;
+    socket_.set_option(tcp::no_delay(true), error);
+    socket_.non_blocking(true, error);
+  }
+
+  std::string_view Unparsed() const {
+    const auto data = buffer_.data();
+    return std::string_view(static_cast<const char*>(data.data()), data.size())
+        .substr(parsed_);
+  }
+
+  void StartRead() {
+    if (reading_ || at_end_ || phase_ == Phase::kClosed)
+      return;
+    // Pipelined requests are held up to the size of one header.
+    const bool busy = phase_ == Phase::kHandling || phase_ == Phase::kWriting;
+    if (busy && Unparsed().size() >= server_->options_.max_header_bytes)
+      return;
+    buffer_.consume(phase_ == Phase::kLingering ? buffer_.size() : parsed_);
+    parsed_ = 0;
+    const bool body = phase_ == Phase::kReceiving && parser_->is_header_done();
+    reading_ = true;
+    socket_.async_read_some(
+        buffer_.prepare(body ? kBodyReadBytes : kHeaderReadBytes),
+        [self = shared_from_this()](const error_code& error, std::size_t size) {
+          self->OnRead(error, size);
+        });
+  }
+
+  void OnRead(const error_code& error, std::size_t size) {
+    reading_ = false;
+    if (phase_ == Phase::kClosed)
+      return;
+    if (error) {
+      OnReadError(error);
+      return;
+    }
+    buffer_.commit(size);
+    if (phase_ == Phase::kLingering) {
+      lingered_ += size;
+      if (lingered_ > kLingerBytes) {
+        Close();
+        return;
+      }
+    }
+    Parse();
+    StartRead();
+  }
+
+  void OnReadError(const error_code& error) {
+    at_end_ = true;
+    const bool half_closed = error == boost::asio::error::eof;
+    if (phase_ == Phase::kReceiving && half_closed) {
+      Fail(state::ResultCode::kMalformedRequest, "the request was cut short");
+      return;
+    }
+    // The answer that is being written may still be read.
+    if (phase_ == Phase::kWriting && half_closed) {
+      close_after_ = true;
+      return;
+    }
+    abandoned_ = phase_ == Phase::kHandling;
+    const std::function<void()> callback = std::move(on_abandoned_);
+    on_abandoned_ = nullptr;
+    Close();
+    if (callback)
+      callback();
+  }
+
+  /// Parses what was read, if a request may start or is being received.
+  void Parse() {
+    if (phase_ != Phase::kIdle && phase_ != Phase::kReceiving)
+      return;
+    const std::string_view unparsed = Unparsed();
+    if (unparsed.empty())
+      return;
+    const HttpServerOptions& options = server_->options_;
+    if (phase_ == Phase::kIdle) {
+      phase_ = Phase::kReceiving;
+      deadline_ = steady_clock::now() + options.receive_timeout;
+      continued_ = false;
+      parser_.emplace(options.max_header_bytes, options.max_body_bytes);
+    }
+    std::size_t consumed = 0;
+    const wire::ParseStatus status = parser_->Feed(unparsed, &consumed);
+    parsed_ += consumed;
+    if (status == wire::ParseStatus::kNeedMore) {
+      Continue();
+      return;
+    }
+    if (status != wire::ParseStatus::kDone) {
+      Fail(CodeOf(status), parser_->detail());
+      return;
+    }
+    Handle();
+  }
+
+  /// Asks for the body if the caller waits for that.
+  void Continue() {
+    if (continued_ || !parser_->is_header_done() ||
+        !parser_->expects_continue())
+      return;
+    continued_ = true;
+    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    // A connection whose send buffer has no room for this is not served.
+    error_code error;
+    const std::size_t sent = socket_.write_some(
+        boost::asio::buffer(kContinue.data(), kContinue.size()), error);
+    if (error || sent != kContinue.size())
+      Close();
+  }
+
+  void Handle();
+
+  /// Answers with problem details and closes the connection.
+  void Fail(state::ResultCode code, std::string_view detail) {
+    close_after_ = true;
+    head_ = false;
+    Answer(ProblemResponse(code, detail));
+  }
+
+  void Answer(HttpResponse response) {
+    close_after_ = close_after_ || server_->stopping_ || AsksToClose(response);
+    const bool no_content = response.status == 204 || response.status == 304;
+    header_.clear();
+    wire::AppendStatusLine(&header_, response.status);
+    wire::AppendFields(&header_, response.headers);
+    if (!no_content) {
+      wire::AppendField(&header_, "Content-Length",
+                        std::to_string(response.body.size()));
+    }
+    if (close_after_)
+      wire::AppendField(&header_, "Connection", "close");
+    else if (http_1_0_)
+      wire::AppendField(&header_, "Connection", "keep-alive");
+    header_ += "\r\n";
+    body_ = no_content || head_ ? std::string() : std::move(response.body);
+    written_ = 0;
+    phase_ = Phase::kWriting;
+    Write();
+  }
+
+  void Write() {
+    deadline_ = steady_clock::now() + server_->options_.send_timeout;
+    const std::size_t header_left =
+        header_.size() - std::min(written_, header_.size());
+    const std::size_t body_left =
+        header_.size() + body_.size() - written_ - header_left;
+    const std::array<boost::asio::const_buffer, 2> buffers = {
+        boost::asio::buffer(header_.data() + header_.size() - header_left,
+                            header_left),
+        boost::asio::buffer(body_.data() + body_.size() - body_left,
+                            body_left)};
+    socket_.async_write_some(
+        buffers,
+        [self = shared_from_this()](const error_code& error, std::size_t size) {
+          self->OnWritten(error, size);
+        });
+  }
+
+  void OnWritten(const error_code& error, std::size_t size) {
+    if (phase_ != Phase::kWriting)
+      return;
+    if (error) {
+      Close();
+      return;
+    }
+    written_ += size;
+    if (written_ < header_.size() + body_.size()) {
+      Write();
+      return;
+    }
+    body_ = std::string();
+    if (close_after_ || server_->stopping_) {
+      Linger();
+      return;
+    }
+    phase_ = Phase::kIdle;
+    deadline_ = steady_clock::now() + server_->options_.idle_timeout;
+    Parse();
+    StartRead();
+  }
+
+  void Linger() {
+    error_code error;
+    socket_.shutdown(tcp::socket::shutdown_send, error);
+    if (at_end_) {
+      Close();
+      return;
+    }
+    phase_ = Phase::kLingering;
+    deadline_ = steady_clock::now() + kLingerTimeout;
+    StartRead();
+  }
+
+  const std::shared_ptr<Impl> server_;
+  tcp::socket socket_;
+  Phase phase_ = Phase::kIdle;
+  steady_clock::time_point deadline_ = kNever;
+  /// While a read is outstanding, buffer_ is only looked at, since the read
+  /// writes into it; `parsed_` bytes are removed before the next read.
+  boost::beast::flat_buffer buffer_;
+  std::size_t parsed_ = 0;
+  bool reading_ = false;
+  /// Nothing more will be read.
+  bool at_end_ = false;
+  std::optional<wire::RequestParser> parser_;
+  bool continued_ = false;
+  /// Number of the request in progress; tells its exchange from earlier ones.
+  std::uint64_t exchange_ = 0;
+  std::function<void()> on_abandoned_;
+  bool abandoned_ = false;
+  bool head_ = false;
+  bool http_1_0_ = false;
+  bool close_after_ = false;
+  bool refused_ = false;
+  std::string header_;
+  std::string body_;
+  std::size_t written_ = 0;
+  std::size_t lingered_ = 0;
+};
+
+/// A request in the hands of the handler.
+class HttpServer::Impl::Exchange : public HttpExchange {
+ public:
+  Exchange(std::shared_ptr<Connection> connection,
+           std::uint64_t number,
+           HttpRequest request)
+      : connection_(std::move(connection)),
+        number_(number),
+        request_(std::move(request)) {}
+  ~Exchange() override { connection_->OnExchangeDropped(number_); }
+
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  const HttpRequest& request() const override { return request_; }
+
+  void Respond(HttpResponse response) override {
+    connection_->Respond(number_, std::move(response));
+  }
+
+  void OnAbandoned(std::function<void()> callback) override {
+    connection_->OnAbandoned(number_, std::move(callback));
+  }
+
+ private:
+  const std::shared_ptr<Connection> connection_;
+  const std::uint64_t number_;
+  const HttpRequest request_;
+};
+
+void HttpServer::Impl::Connection::Handle() {
+  phase_ = Phase::kHandling;
+  deadline_ = kNever;
+  ++exchange_;
+  close_after_ = !parser_->keep_alive();
+  http_1_0_ = parser_->version() == 10;
+  HttpRequest request = std::move(parser_->message());
+  head_ = request.method == "HEAD";
+  server_->handler_(std::make_shared<Exchange>(shared_from_this(), exchange_,
+                                               std::move(request)));
+}
+
+void HttpServer::Impl::Listen(const state::Endpoint& endpoint) {
+  const tcp::endpoint address(boost::asio::ip::make_address(endpoint.address),
+                              endpoint.port);
+  acceptor_.open(address.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(address);
+  acceptor_.listen();
+  port_ = acceptor_.local_endpoint().port();
+  Accept();
+}
+
+void HttpServer::Impl::Accept() {
+  acceptor_.async_accept(
+      [self = shared_from_this()](const error_code& error, tcp::socket socket) {
+        self->OnAccept(error, std::move(socket));
+      });
+}
+
+void HttpServer::Impl::OnAccept(const error_code& error, tcp::socket socket) {
+  if (!acceptor_.is_open())
+    return;
+  if (error) {
+    accept_timer_.expires_after(kAcceptPause);
+    accept_timer_.async_wait(
+        [self = shared_from_this()](const error_code& wait_error) {
+          if (!wait_error && self->acceptor_.is_open())
+            self->Accept();
+        });
+    return;
+  }
+  const bool over = connection_count() >= options_.max_connections;
+  if (!over || refused_ < kMaxRefusedConnections) {
+    const auto connection =
+        std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    connections_.insert(connection);
+    refused_ += over ? 1 : 0;
+    if (over)
+      connection->Refuse();
+    else
+      connection->Start();
+    ScheduleSweep();
+  }
+  Accept();
+}
+
+state::Duration HttpServer::Impl::SweepInterval() const {
+  // A bound is exceeded by an eighth of its length at most.
+  const state::Duration shortest =
+      std::min({options_.receive_timeout, options_.send_timeout,
+                options_.idle_timeout, kLingerTimeout});
+  return std::clamp(shortest / 8, kMinSweepInterval, kMaxSweepInterval);
+}
+
+void HttpServer::Impl::ScheduleSweep() {
+  if (sweep_scheduled_ || connections_.empty())
+    return;
+  sweep_scheduled_ = true;
+  sweep_timer_.expires_after(SweepInterval());
+  sweep_timer_.async_wait([self = shared_from_this()](const error_code& error) {
+    self->sweep_scheduled_ = false;
+    if (!error)
+      self->Sweep();
+  });
+}
+
+void HttpServer::Impl::Sweep() {
+  const auto now = steady_clock::now();
+  const std::vector<std::shared_ptr<Connection>> connections(
+      connections_.begin(), connections_.end());
+  for (const auto& connection : connections)
+    connection->CheckDeadline(now);
+  ScheduleSweep();
+}
+
+void HttpServer::Impl::StopAccepting() {
+  stopping_ = true;
+  error_code error;
+  acceptor_.close(error);
+  accept_timer_.cancel();
+  const std::vector<std::shared_ptr<Connection>> connections(
+      connections_.begin(), connections_.end());
+  for (const auto& connection : connections)
+    connection->CloseIfIdle();
+}
+
+void HttpServer::Impl::Close() {
+  StopAccepting();
+  const std::vector<std::shared_ptr<Connection>> connections(
+      connections_.begin(), connections_.end());
+  for (const auto& connection : connections)
+    connection->Close();
+  sweep_timer_.cancel();
+  handler_ = nullptr;
+}
+
+HttpServer::HttpServer(boost::asio::io_context& context,
+                       const state::Endpoint& endpoint,
+                       const HttpServerOptions& options,
+                       Handler handler)
+    : impl_(std::make_shared<Impl>(context, options, std::move(handler))) {
+  try {
+    impl_->Listen(endpoint);
+  } catch (const boost::system::system_error& error) {
+    throw std::system_error(error.code(), error.what());
+  }
+}
+
+HttpServer::~HttpServer() {
+  impl_->Close();
+}
+
+std::uint16_t HttpServer::port() const {
+  return impl_->port();
+}
+
+void HttpServer::StopAccepting() {
+  impl_->StopAccepting();
+}
+
+std::size_t HttpServer::connection_count() const {
+  return impl_->connection_count();
+}
+
+}  // namespace sesamespread::transport
--- /dev/null
+++ b/lib/transport/http_wire.h
@@ -0,0 +1,239 @@
+/// \file
+/// Parsing and serialising of HTTP/1.1 messages, shared by server and client.
+/// The parser is Boost.Beast's with hooks that fill our message types directly;
+/// it is stricter than Beast where two readers of one message could disagree
+/// about where it ends.
+#ifndef SESAMESPREAD_LIB_TRANSPORT_HTTP_WIRE_H_
+#define SESAMESPREAD_LIB_TRANSPORT_HTTP_WIRE_H_
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "sesamespread/transport/http_message.h"
+
+namespace sesamespread::transport::wire {
+
+/// State of a message after some bytes of it.
+enum class ParseStatus : std::uint8_t {
+  kNeedMore,
+  kDone,
+  kMalformed,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+};
+
+/// Parser for one message of type HttpRequest or HttpResponse.
+template <bool is_request, class Message>
+class MessageParser : public boost::beast::http::basic_parser<is_request> {
+  using Base = boost::beast::http::basic_parser<is_request>;
+  using ErrorCode = boost::beast::error_code;
+  using StringView = boost::beast::string_view;
+
+ public:
+  MessageParser(std::size_t max_header_bytes, std::uint64_t max_body_bytes)
+      : max_header_bytes_(max_header_bytes) {
+    this->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+        max_header_bytes, std::numeric_limits<std::uint32_t>::max())));
+    this->body_limit(max_body_bytes);
+  }
+
+  /// Parses a prefix of \p data. Bytes that were not consumed are given again
+  /// with the next call. Bytes after the message's end are not consumed.
+  ParseStatus Feed(std::string_view data, std::size_t* consumed) {
+    *consumed = 0;
+    while (!this->is_done()) {
+      if (*consumed == data.size())
+        return ParseStatus::kNeedMore;
+      const bool in_header = !this->is_header_done();
+      const std::string_view rest = data.substr(*consumed);
+      ErrorCode error;
+      const std::size_t used =
+          this->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+      *consumed += used;
+      if (in_header)
+        header_bytes_ += used;
+      if (error == boost::beast::http::error::need_more)
+        return Pending(data.size() - *consumed);
+      if (error)
+        return Fail(error);
+      if (header_bytes_ > max_header_bytes_)
+        return Fail(boost::beast::http::error::header_limit);
+    }
+    return ParseStatus::kDone;
+  }
+
+  Message& message() { return message_; }
+
+  /// Why the message is malformed.
+  const std::string& detail() const { return detail_; }
+
+  bool expects_continue() const { return expects_continue_; }
+
+  /// 10 or 11.
+  int version() const { return version_; }
+
+ private:
+  ParseStatus Pending(std::size_t pending) {
+    // Chunk extensions and trailers are bounded like the header.
+    const std::size_t before = this->is_header_done() ? 0 : header_bytes_;
+    if (before + pending > max_header_bytes_)
+      return Fail(boost::beast::http::error::header_limit);
+    return ParseStatus::kNeedMore;
+  }
+
+  ParseStatus Fail(ErrorCode error) {
+    if (detail_.empty())
+      detail_ = error.message();
+    if (error == boost::beast::http::error::header_limit)
+      return ParseStatus::kHeaderTooLarge;
+    if (error == boost::beast::http::error::body_limit)
+      return ParseStatus::kBodyTooLarge;
+    return ParseStatus::kMalformed;
+  }
+
+  void Reject(std::string_view detail, ErrorCode& error) {
+    detail_ = detail;
+    error = boost::beast::http::error::bad_value;
+  }
+
+  void on_request_impl(boost::beast::http::verb,
+                       StringView method,
+                       StringView target,
+                       int version,
+                       ErrorCode& error) override {
+    if constexpr (is_request) {
+      message_.method.assign(method.data(), method.size());
+      message_.target.assign(target.data(), target.size());
+      version_ = version;
+      if (target[0] != '/' && target != "*")
+        Reject("the request target is not in origin form", error);
+    }
+  }
+
+  void on_response_impl(int code,
+                        StringView,
+                        int version,
+                        ErrorCode& error) override {
+    if constexpr (!is_request) {
+      message_.status = static_cast<std::uint16_t>(code);
+      version_ = version;
+      if (code < 100 || code > 599)
+        Reject("the status code is out of range", error);
+    }
+  }
+
+  void on_field_impl(boost::beast::http::field id,
+                     StringView name,
+                     StringView value,
+                     ErrorCode& error) override {
+    using boost::beast::http::field;
+    // Trailers are dropped: they must not pass for header fields.
+    if (header_done_)
+      return;
+    switch (id) {
+      case field::content_length:
+        // Beast accepts repeated equal lengths; other readers of the same
+        // bytes need not.
+        if (content_lengths_++ > 0 || value.find(',') != StringView::npos)
+          return Reject("Content-Length is repeated", error);
+        break;
+      case field::transfer_encoding:
+        // Beast takes a message with any other coding for one without a body.
+        if (version_ < 11 || !boost::beast::iequals(value, "chunked"))
+          return Reject("Transfer-Encoding is not supported", error);
+        break;
+      case field::host:
+        if (hosts_++ > 0)
+          return Reject("Host is repeated", error);
+        break;
+      case field::expect:
+        expects_continue_ =
+            version_ >= 11 && boost::beast::iequals(value, "100-continue");
+        break;
+      default:
+        break;
+    }
+    message_.headers.push_back({std::string(name.data(), name.size()),
+                                std::string(value.data(), value.size())});
+  }
+
+  void on_header_impl(ErrorCode& error) override {
+    header_done_ = true;
+    if (is_request && version_ >= 11 && hosts_ == 0)
+      Reject("Host is missing", error);
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                         ErrorCode& error) override {
+    // A declared length alone must not make us allocate the whole bound.
+    constexpr std::uint64_t kMaxReservedBytes = 64 << 10;
+    error = {};
+    if (length)
+      message_.body.reserve(std::min(*length, kMaxReservedBytes));
+  }
+
+  std::size_t on_body_impl(StringView body, ErrorCode& error) override {
+    error = {};
+    message_.body.append(body.data(), body.size());
+    return body.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t,
+                            StringView,
+                            ErrorCode& error) override {
+    error = {};
+  }
+
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 StringView body,
+                                 ErrorCode& error) override {
+    return on_body_impl(body, error);
+  }
+
+  void on_finish_impl(ErrorCode& error) override { error = {}; }
+
+  const std::size_t max_header_bytes_;
+  std::size_t header_bytes_ = 0;
+  int version_ = 0;
+  int content_lengths_ = 0;
+  int hosts_ = 0;
+  bool expects_continue_ = false;
+  bool header_done_ = false;
+  Message message_;
+  std::string detail_;
+};
+
+using RequestParser = MessageParser<true, HttpRequest>;
+using ResponseParser = MessageParser<false, HttpResponse>;
+
+/// True if \p text has no byte that could end a field or a start line early.
+bool IsSingleLine(std::string_view text);
+
+/// True if \p text can stand as method or target in a request line.
+bool IsRequestLineWord(std::string_view text);
+
+/// Appends "name: value" and the line's end.
+void AppendField(std::string* out,
+                 std::string_view name,
+                 std::string_view value);
+
+/// Appends all of \p headers but those that frame the message (Content-Length,
+/// Transfer-Encoding, Connection, Keep-Alive) and those that are not one line.
+void AppendFields(std::string* out,
+                  const std::vector<protocol::Header>& headers);
+
+/// Appends an HTTP/1.1 status line.
+void AppendStatusLine(std::string* out, std::uint16_t status);
+
+}  // namespace sesamespread::transport::wire
+
+#endif  // SESAMESPREAD_LIB_TRANSPORT_HTTP_WIRE_H_
--- /dev/null
+++ b/unittests/transport/http_server_test.cc
@@ -0,0 +1,391 @@
+/// \file
+/// Guards against callers that can make the server misread a message, hold
+/// resources without bound, or lose the notice that a connection was closed.
+#include "sesamespread/transport/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <vector>
+
+#include "test_support.h"
+
+namespace sesamespread::transport {
+namespace {
+
+constexpr char kGet[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+class HttpServerTest : public testing::Test {
+ protected:
+  void Start(const HttpServerOptions& options = {}) {
+    server_.emplace(context_, RawPeer::Loopback(0), options,
+                    [this](std::shared_ptr<HttpExchange> exchange) {
+                      Handle(std::move(exchange));
+                    });
+  }
+
+  /// Answers with the target and the body, unless the path is /hold.
+  void Handle(std::shared_ptr<HttpExchange> exchange) {
+    requests_.push_back(exchange->request());
+    if (exchange->request().target == "/hold") {
+      exchange->OnAbandoned([this] { ++abandoned_; });
+      held_.push_back(std::move(exchange));
+      return;
+    }
+    HttpResponse response;
+    response.body = exchange->request().target + exchange->request().body;
+    exchange->Respond(std::move(response));
+  }
+
+  RawPeer Connect() {
+    RawPeer peer(context_);
+    peer.Connect(server_->port());
+    return peer;
+  }
+
+  /// Sends \p bytes on a new connection and expects an answer with \p status,
+  /// problem details with \p result, and then the end of the connection.
+  void ExpectProblem(std::string_view bytes, int status, int result) {
+    RawPeer peer = Connect();
+    peer.Send(bytes);
+    EXPECT_TRUE(peer.ExpectClose()) << bytes;
+    ExpectProblemIn(peer.received(), status, result);
+  }
+
+  static void ExpectProblemIn(const std::string& answer,
+                              int status,
+                              int result) {
+    const auto has = [&](const std::string& text) {
+      EXPECT_NE(answer.find(text), std::string::npos) << text << "\n" << answer;
+    };
+    has("HTTP/1.1 " + std::to_string(status));
+    has("Content-Type: application/problem+json");
+    has("Sesamespread-Result: " + std::to_string(result));
+    has("\"result\":" + std::to_string(result));
+    has("Connection: close");
+  }
+
+  boost::asio::io_context context_;
+  std::vector<HttpRequest> requests_;
+  std::vector<std::shared_ptr<HttpExchange>> held_;
+  int abandoned_ = 0;
+  std::optional<HttpServer> server_;
+};
+
+// A message whose end two readers could place differently lets a caller
+// smuggle a second request past the node's checks.
+TEST_F(HttpServerTest, RefusesMessagesWithAnAmbiguousEnd) {
+  Start();
+  const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  for (const char* fields :
+       {"Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3\r\nContent-Length: 3\r\n",
+        "Content-Length: 3, 3\r\n", "Content-Length: -1\r\n",
+        "Content-Length: +3\r\n", "Content-Length: 3x\r\n",
+        "Content-Length: \r\n", "Content-Length: 99999999999999999999\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+        "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding : chunked\r\n", "Host: other\r\n"}) {
+    ExpectProblem(start + fields + "\r\nabc", 400, 400);
+  }
+  ExpectProblem(
+      "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400,
+      400);
+  EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(HttpServerTest, RefusesMalformedRequests) {
+  Start();
+  for (const char* request :
+       {"\x16\x03\x01 hello\r\n\r\n", "GET\r\n\r\n", "GET /a\r\n\r\n",
+        "GET /a HTTP/2.0\r\nHost: h\r\n\r\n", "GET /a HTTP/1.1\r\n\r\n",
+        "GET a HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n", "GET /a HTTP/1.1\nHost: h\n\n",
+        "GET /a HTTP/1.1\r\nHost: h\r\nbad field: x\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\r\nx: a\x01\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+        "chunked\r\n\r\nzz\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n3\r\nabcdef\r\n0\r\n\r\n"}) {
+    ExpectProblem(request, 400, 400);
+  }
+  EXPECT_TRUE(requests_.empty());
+}
+
+// A request that was cut short must not run, and its sender learns it.
+TEST_F(HttpServerTest, RefusesARequestCutShort) {
+  Start();
+  const std::string post = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  for (const std::string& request :
+       {std::string("GET /a HT"), post + "Content-Length: 5\r\n\r\nabc",
+        post + "Transfer-Encoding: chunked\r\n\r\n5\r\nabc",
+        post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"}) {
+    RawPeer peer = Connect();
+    peer.Send(request);
+    peer.socket().shutdown(RawPeer::Socket::shutdown_send);
+    EXPECT_TRUE(peer.ExpectClose());
+    ExpectProblemIn(peer.received(), 400, 400);
+  }
+  EXPECT_TRUE(requests_.empty());
+}
+
+// Memory that one connection can take must be bounded by the options, for the
+// header as a whole and not for each of its parts.
+TEST_F(HttpServerTest, BoundsTheHeader) {
+  HttpServerOptions options;
+  options.max_header_bytes = 1000;
+  Start(options);
+  const std::string start = "GET /a HTTP/1.1\r\nHost: h\r\n";
+  ExpectProblem("GET /" + std::string(2000, 'a'), 431, 403);
+  ExpectProblem("GET /" + std::string(600, 'a') +
+                    " HTTP/1.1\r\nHost: h\r\nx: " + std::string(600, 'b') +
+                    "\r\n\r\n",
+                431, 403);
+  ExpectProblem(start + "x: " + std::string(2000, 'a'), 431, 403);
+  ExpectProblem(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n1;x=" +
+          std::string(2000, 'a'),
+      431, 403);
+  ExpectProblem(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\nx: " +
+          std::string(2000, 'a'),
+      431, 403);
+  EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(HttpServerTest, BoundsTheBody) {
+  HttpServerOptions options;
+  options.max_body_bytes = 1000;
+  Start(options);
+  const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  ExpectProblem(start + "Content-Length: 1001\r\n\r\n", 413, 402);
+  // The answer must reach a caller that is still sending.
+  ExpectProblem(
+      start + "Content-Length: 1000000\r\n\r\n" + std::string(1000000, 'a'),
+      413, 402);
+  std::string chunks = start + "Transfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 20; ++i)
+    chunks += "64\r\n" + std::string(100, 'a') + "\r\n";
+  ExpectProblem(chunks, 413, 402);
+  EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(HttpServerTest, TakesAChunkedBodyAndDropsTrailers) {
+  Start();
+  RawPeer peer = Connect();
+  peer.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nIdempotency-Key: forged\r\n\r\n");
+  ASSERT_TRUE(peer.Expect("/aabcde"));
+  EXPECT_EQ(FieldOf(requests_[0].headers, "idempotency-key"), "");
+}
+
+// A sender that never finishes must not hold a connection for ever.
+TEST_F(HttpServerTest, EndsASlowSender) {
+  HttpServerOptions options;
+  options.receive_timeout = std::chrono::milliseconds(40);
+  Start(options);
+  ExpectProblem("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabc",
+                408, 409);
+  EXPECT_TRUE(
+      RunUntil(context_, [&] { return server_->connection_count() == 0; }));
+}
+
+TEST_F(HttpServerTest, ClosesAnIdleConnection) {
+  HttpServerOptions options;
+  options.idle_timeout = std::chrono::milliseconds(40);
+  Start(options);
+  RawPeer peer = Connect();
+  EXPECT_TRUE(peer.ExpectClose());
+  EXPECT_EQ(peer.received(), "");
+}
+
+// A reader that takes nothing must not hold an answer for ever.
+TEST_F(HttpServerTest, EndsASlowReader) {
+  HttpServerOptions options;
+  options.send_timeout = std::chrono::milliseconds(40);
+  Start(options);
+  RawPeer peer(context_);
+  peer.socket().open(boost::asio::ip::tcp::v4());
+  peer.socket().set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  peer.Connect(server_->port());
+  peer.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  HttpResponse response;
+  response.body.assign(32 << 20, 'a');
+  held_[0]->Respond(std::move(response));
+  EXPECT_TRUE(
+      RunUntil(context_, [&] { return server_->connection_count() == 0; }));
+}
+
+// Connections over the bound must be refused with a retry time, and must not
+// take the place of those that are served.
+TEST_F(HttpServerTest, RefusesConnectionsOverTheBound) {
+  HttpServerOptions options;
+  options.max_connections = 2;
+  Start(options);
+  std::vector<RawPeer> peers;
+  for (int i = 0; i < 2; ++i) {
+    peers.push_back(Connect());
+    peers.back().Send(kGet);
+    ASSERT_TRUE(peers.back().Expect("/a"));
+  }
+  RawPeer refused = Connect();
+  EXPECT_TRUE(refused.ExpectClose());
+  ExpectProblemIn(refused.received(), 503, 210);
+  EXPECT_NE(refused.received().find("Retry-After: 1\r\n"), std::string::npos);
+  peers[0].received().clear();
+  peers[0].Send(kGet);
+  EXPECT_TRUE(peers[0].Expect("/a"));
+
+  peers[1].socket().close();
+  ASSERT_TRUE(
+      RunUntil(context_, [&] { return server_->connection_count() == 1; }));
+  RawPeer next = Connect();
+  next.Send(kGet);
+  EXPECT_TRUE(next.Expect("/a"));
+}
+
+// Answers on one connection must come in the order of the requests, whatever
+// the order in which they become ready.
+TEST_F(HttpServerTest, AnswersPipelinedRequestsInOrder) {
+  Start();
+  RawPeer peer = Connect();
+  peer.Send(std::string("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n") + kGet +
+            "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  HttpResponse response;
+  response.body = "held";
+  held_[0]->Respond(response);
+  // A second answer to the same request must not become another's answer.
+  held_[0]->Respond(response);
+  ASSERT_TRUE(peer.Expect("/b"));
+  EXPECT_EQ(peer.received(),
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nheld"
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/a"
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/b");
+}
+
+// A late answer to a request that was abandoned must not reach anybody.
+TEST_F(HttpServerTest, ReportsAnAbandonedRequestOnce) {
+  Start();
+  RawPeer peer = Connect();
+  // A pipelined request must not hide the end of the connection.
+  peer.Send(std::string("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n") + kGet);
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  EXPECT_EQ(abandoned_, 0);
+  peer.socket().close();
+  ASSERT_TRUE(RunUntil(context_, [&] { return abandoned_ == 1; }));
+  EXPECT_EQ(server_->connection_count(), 0U);
+  held_[0]->Respond({});
+  // A handler that asks only now must be told as well.
+  held_[0]->OnAbandoned([this] { abandoned_ += 10; });
+  ASSERT_TRUE(RunUntil(context_, [&] { return abandoned_ == 11; }));
+  EXPECT_EQ(requests_.size(), 1U);
+}
+
+TEST_F(HttpServerTest, DoesNotReportAnAnsweredRequestAsAbandoned) {
+  Start();
+  RawPeer peer = Connect();
+  peer.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  held_[0]->Respond({});
+  ASSERT_TRUE(peer.Expect("Content-Length: 0"));
+  peer.socket().close();
+  ASSERT_TRUE(
+      RunUntil(context_, [&] { return server_->connection_count() == 0; }));
+  EXPECT_EQ(abandoned_, 0);
+}
+
+// A handler that loses a request must not leave its caller waiting.
+TEST_F(HttpServerTest, ClosesTheConnectionOfADroppedExchange) {
+  Start();
+  RawPeer peer = Connect();
+  peer.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  held_.clear();
+  EXPECT_TRUE(peer.ExpectClose());
+}
+
+// A field value with a line end would let a backend server's answer forge
+// further fields or a whole further answer.
+TEST_F(HttpServerTest, DropsFieldsThatWouldBreakTheFraming) {
+  Start();
+  RawPeer peer = Connect();
+  peer.Send("HEAD /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  HttpResponse response;
+  response.headers = {{"x", "a\r\nforged: b"},
+                      {"y\r\nforged", "b"},
+                      {"Content-Length", "77"},
+                      {"Transfer-Encoding", "chunked"},
+                      {"z", "kept"}};
+  response.body = "abc";
+  held_[0]->Respond(response);
+  peer.Send(kGet);
+  ASSERT_TRUE(peer.Expect("/a"));
+  EXPECT_EQ(peer.received(),
+            "HTTP/1.1 200 OK\r\nz: kept\r\nContent-Length: 3\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/a");
+}
+
+TEST_F(HttpServerTest, AsksForABodyThatIsHeldBack) {
+  Start();
+  RawPeer peer = Connect();
+  peer.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+      "Content-Length: 3\r\n\r\n");
+  ASSERT_TRUE(peer.Expect("HTTP/1.1 100 Continue\r\n\r\n"));
+  peer.Send("abc");
+  EXPECT_TRUE(peer.Expect("/aabc"));
+}
+
+// Stopping must not interrupt a request in progress, and must not leave idle
+// connections open.
+TEST_F(HttpServerTest, StopsWithoutInterruptingRequests) {
+  Start();
+  RawPeer idle = Connect();
+  idle.Send(kGet);
+  ASSERT_TRUE(idle.Expect("/a"));
+  RawPeer busy = Connect();
+  busy.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  server_->StopAccepting();
+  EXPECT_TRUE(idle.ExpectClose());
+  RawPeer late(context_);
+  EXPECT_THROW(late.Connect(server_->port()), boost::system::system_error);
+  HttpResponse response;
+  response.body = "whole";
+  held_[0]->Respond(response);
+  EXPECT_TRUE(busy.ExpectClose());
+  EXPECT_NE(busy.received().find("Connection: close\r\n\r\nwhole"),
+            std::string::npos);
+}
+
+TEST_F(HttpServerTest, ThrowsIfTheAddressIsInUse) {
+  Start();
+  EXPECT_THROW(HttpServer(context_, RawPeer::Loopback(server_->port()), {},
+                          [](const std::shared_ptr<HttpExchange>&) {}),
+               std::system_error);
+}
+
+// Handlers may keep an exchange beyond the server's life.
+TEST_F(HttpServerTest, OutlivedByAnExchange) {
+  Start();
+  RawPeer peer = Connect();
+  peer.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  server_.reset();
+  held_[0]->Respond({});
+  EXPECT_TRUE(peer.ExpectClose());
+  EXPECT_EQ(peer.received(), "");
+}
+
+}  // namespace
+}  // namespace sesamespread::transport
