--- a/include/sesamespread/transport/http_client.h
+++ b/include/sesamespread/transport/http_client.h
@@ -64,7 +64,8 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// Sends \p request; \p callback runs exactly once, never inside Send. A
+  /// Sends \p request; \p callback runs exactly once, never inside Send or
+  /// Cancel, unless the client is destroyed first. A
   /// request on a reused connection that the other end had already closed is
   /// sent again on a new one only if no byte of it can have been read:
   /// it never is if any byte was written. Stale idle connections are detected
--- /dev/null
+++ b/unittests/transport/http_client_test.cc
@@ -0,0 +1,367 @@
+/// \file
+/// Guards against answers that are delivered though they are not whole or not
+/// the request's own, requests that are sent twice, and calls that never end.
+#include "sesamespread/transport/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <vector>
+
+#include "sesamespread/transport/http_server.h"
+#include "test_support.h"
+
+namespace sesamespread::transport {
+namespace {
+
+constexpr std::chrono::seconds kLong{60};
+
+class HttpClientTest : public testing::Test {
+ protected:
+  HttpClientTest()
+      : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    client_.emplace(context_, HttpClientOptions{});
+  }
+
+  state::Endpoint endpoint() const {
+    return RawPeer::Loopback(acceptor_.local_endpoint().port());
+  }
+
+  /// Sends a request and returns the index of its outcome.
+  std::size_t Send(const std::string& target = "/a",
+                   state::Duration timeout = kLong,
+                   const std::string& method = "GET") {
+    const std::size_t index = outcomes_.size();
+    outcomes_.emplace_back();
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    handle_ = client_->Send(endpoint(), request, After(timeout),
+                            [this, index](HttpOutcome outcome) {
+                              EXPECT_FALSE(outcomes_[index].has_value());
+                              outcomes_[index] = std::move(outcome);
+                            });
+    EXPECT_FALSE(outcomes_[index].has_value()) << "callback inside Send";
+    return index;
+  }
+
+  HttpOutcome Outcome(std::size_t index) {
+    EXPECT_TRUE(
+        RunUntil(context_, [&] { return outcomes_[index].has_value(); }));
+    return outcomes_[index].value_or(HttpOutcome{});
+  }
+
+  /// The outcome of a request that is answered with \p answer, after which the
+  /// connection is closed if \p close.
+  HttpOutcome OutcomeOf(std::string_view answer,
+                        bool close = true,
+                        const std::string& method = "GET") {
+    const std::size_t index = Send("/a", kLong, method);
+    RawPeer peer(context_);
+    EXPECT_TRUE(peer.Accept(acceptor_));
+    EXPECT_TRUE(peer.Expect("\r\n\r\n"));
+    peer.Send(answer);
+    if (close)
+      peer.socket().close();
+    return Outcome(index);
+  }
+
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::optional<HttpOutcome>> outcomes_;
+  HttpClient::Handle handle_ = 0;
+  std::optional<HttpClient> client_;
+};
+
+TEST_F(HttpClientTest, DeliversWholeAnswers) {
+  const HttpOutcome sized =
+      OutcomeOf("HTTP/1.1 201 Created\r\nx: y\r\nContent-Length: 3\r\n\r\nabc");
+  EXPECT_EQ(sized.kind, HttpOutcomeKind::kAnswered);
+  EXPECT_TRUE(sized.request_sent);
+  EXPECT_EQ(sized.response.status, 201);
+  EXPECT_EQ(sized.response.body, "abc");
+  EXPECT_EQ(FieldOf(sized.response.headers, "X"), "y");
+
+  const HttpOutcome chunked = OutcomeOf(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\n\r\n");
+  EXPECT_EQ(chunked.kind, HttpOutcomeKind::kAnswered);
+  EXPECT_EQ(chunked.response.body, "abc");
+
+  EXPECT_EQ(OutcomeOf("HTTP/1.1 204 No Content\r\n\r\n").kind,
+            HttpOutcomeKind::kAnswered);
+  const HttpOutcome interim = OutcomeOf(
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+      "Content-Length: 1\r\n\r\na");
+  EXPECT_EQ(interim.response.body, "a");
+  const HttpOutcome head = OutcomeOf(
+      "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n", false, "HEAD");
+  EXPECT_EQ(head.kind, HttpOutcomeKind::kAnswered);
+  EXPECT_EQ(head.response.body, "");
+}
+
+// A part of an answer must never pass for the whole.
+TEST_F(HttpClientTest, ReportsAnswersThatAreCutShort) {
+  for (const char* answer :
+       {"", "HTTP/1.1 200 OK\r\nContent-", "HTTP/1.1 200 OK\r\n\r\nabc",
+        "HTTP/1.0 200 OK\r\nConnection: close\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na"}) {
+    const HttpOutcome outcome = OutcomeOf(answer);
+    EXPECT_EQ(outcome.kind, HttpOutcomeKind::kTruncated) << answer;
+    EXPECT_TRUE(outcome.request_sent);
+  }
+}
+
+TEST_F(HttpClientTest, ReportsMalformedAnswers) {
+  std::string interim;
+  for (int i = 0; i < 20; ++i)
+    interim += "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const std::string& answer :
+       {std::string("SSH-2.0-x\r\n\r\n"), std::string("HTTP/1.1 99 x\r\n\r\n"),
+        std::string("HTTP/1.1 101 Switching Protocols\r\n\r\n"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                    "Content-Length: 2\r\n\r\na"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\na"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\na"),
+        interim}) {
+    EXPECT_EQ(OutcomeOf(answer).kind, HttpOutcomeKind::kMalformed) << answer;
+  }
+}
+
+// An endless answer must end at the bound, not with the memory.
+TEST_F(HttpClientTest, BoundsAnswers) {
+  HttpClientOptions options;
+  options.max_header_bytes = 1000;
+  options.max_body_bytes = 1000;
+  client_.emplace(context_, options);
+  EXPECT_EQ(
+      OutcomeOf("HTTP/1.1 200 OK\r\nx: " + std::string(5000, 'a'), false).kind,
+      HttpOutcomeKind::kTooLarge);
+  EXPECT_EQ(
+      OutcomeOf("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n", false).kind,
+      HttpOutcomeKind::kTooLarge);
+  std::string endless = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 1000; ++i)
+    endless += "64\r\n" + std::string(100, 'a') + "\r\n";
+  EXPECT_EQ(OutcomeOf(endless, false).kind, HttpOutcomeKind::kTooLarge);
+}
+
+// A silent peer must not hold a call beyond its deadline.
+TEST_F(HttpClientTest, EndsAtTheDeadline) {
+  const std::size_t sent = Send("/a", std::chrono::milliseconds(30));
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  const HttpOutcome outcome = Outcome(sent);
+  EXPECT_EQ(outcome.kind, HttpOutcomeKind::kTimedOut);
+  EXPECT_TRUE(outcome.request_sent);
+  // The other end learns that the answer is no longer wanted.
+  EXPECT_TRUE(peer.ExpectClose());
+
+  const HttpOutcome expired = Outcome(Send("/a", std::chrono::seconds(-1)));
+  EXPECT_EQ(expired.kind, HttpOutcomeKind::kTimedOut);
+  EXPECT_FALSE(expired.request_sent);
+  EXPECT_EQ(client_->in_flight(), 0U);
+}
+
+// `request_sent` decides whether a request may be repeated elsewhere.
+TEST_F(HttpClientTest, ReportsAFailedConnection) {
+  const state::Endpoint closed = endpoint();
+  acceptor_.close();
+  int ended = 0;
+  for (const state::Endpoint& target :
+       {closed, state::Endpoint{"nowhere", 1}}) {
+    client_->Send(target, {}, After(kLong), [&](const HttpOutcome& outcome) {
+      EXPECT_EQ(outcome.kind, HttpOutcomeKind::kConnectFailed);
+      EXPECT_FALSE(outcome.request_sent);
+      ++ended;
+    });
+  }
+  EXPECT_TRUE(RunUntil(context_, [&] { return ended == 2; }));
+}
+
+// A full accept queue leaves connection attempts unanswered.
+TEST_F(HttpClientTest, BoundsTheConnectionAttempt) {
+  acceptor_.close();
+  acceptor_.open(boost::asio::ip::tcp::v4());
+  acceptor_.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+  acceptor_.listen(0);
+  HttpClientOptions options;
+  options.connect_timeout = std::chrono::milliseconds(30);
+  client_.emplace(context_, options);
+  std::vector<std::size_t> sent;
+  for (int i = 0; i < 4; ++i)
+    sent.push_back(Send("/a", std::chrono::milliseconds(500)));
+  const HttpOutcome last = Outcome(sent.back());
+  EXPECT_EQ(last.kind, HttpOutcomeKind::kConnectFailed);
+  EXPECT_FALSE(last.request_sent);
+}
+
+TEST_F(HttpClientTest, CancelClosesTheConnection) {
+  const std::size_t sent = Send();
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  ASSERT_TRUE(peer.Expect("\r\n\r\n"));
+  client_->Cancel(handle_);
+  EXPECT_FALSE(outcomes_[sent].has_value()) << "callback inside Cancel";
+  EXPECT_EQ(Outcome(sent).kind, HttpOutcomeKind::kCancelled);
+  EXPECT_TRUE(peer.ExpectClose());
+  client_->Cancel(handle_);
+  EXPECT_EQ(client_->in_flight(), 0U);
+}
+
+TEST_F(HttpClientTest, ReusesAConnection) {
+  const std::size_t first = Send("/a");
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+  EXPECT_EQ(Outcome(first).response.body, "a");
+  const std::size_t second = Send("/b");
+  ASSERT_TRUE(peer.Expect("GET /b"));
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+  EXPECT_EQ(Outcome(second).response.body, "b");
+}
+
+// A request must not be lost to a connection that the other end has closed,
+// and must not be sent twice to find that out.
+TEST_F(HttpClientTest, DetectsAStaleConnectionBeforeTheWrite) {
+  const std::size_t first = Send("/a");
+  {
+    RawPeer peer(context_);
+    ASSERT_TRUE(peer.Accept(acceptor_));
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+    EXPECT_EQ(Outcome(first).response.body, "a");
+  }
+  // The context has not run since the peer closed the connection.
+  const std::size_t second = Send("/b");
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  ASSERT_TRUE(peer.Expect("GET /b"));
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+  EXPECT_EQ(Outcome(second).response.body, "b");
+}
+
+// A request that was written must not be sent again when the connection ends:
+// it may have run.
+TEST_F(HttpClientTest, NeverSendsAWrittenRequestAgain) {
+  const std::size_t first = Send("/a");
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+  EXPECT_EQ(Outcome(first).response.body, "a");
+  const std::size_t second = Send("/b");
+  ASSERT_TRUE(peer.Expect("GET /b"));
+  peer.socket().close();
+  const HttpOutcome outcome = Outcome(second);
+  EXPECT_EQ(outcome.kind, HttpOutcomeKind::kTruncated);
+  EXPECT_TRUE(outcome.request_sent);
+  acceptor_.non_blocking(true);
+  boost::system::error_code error;
+  acceptor_.accept(error);
+  EXPECT_EQ(error, boost::asio::error::would_block);
+}
+
+// Bytes that no request asked for must not become the next request's answer.
+TEST_F(HttpClientTest, DropsAConnectionWithUnexpectedBytes) {
+  const std::string forged =
+      "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged";
+  for (const bool with_answer : {true, false}) {
+    const std::size_t first = Send("/a");
+    RawPeer peer(context_);
+    ASSERT_TRUE(peer.Accept(acceptor_));
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    peer.Send(with_answer ? answer + forged : answer);
+    EXPECT_EQ(Outcome(first).response.body, "a");
+    if (!with_answer)
+      peer.Send(forged);
+    const std::size_t second = Send("/b");
+    RawPeer next(context_);
+    ASSERT_TRUE(next.Accept(acceptor_));
+    next.Send(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+        "Content-Length: 1\r\n\r\nb");
+    EXPECT_EQ(Outcome(second).response.body, "b");
+  }
+}
+
+// Requests over the bound on connections wait, and are ended by their own
+// deadline if no connection becomes free.
+TEST_F(HttpClientTest, BoundsConnections) {
+  HttpClientOptions options;
+  options.max_connections_per_endpoint = 1;
+  client_.emplace(context_, options);
+  const std::size_t first = Send("/a");
+  const std::size_t second = Send("/b", std::chrono::milliseconds(30));
+  const std::size_t third = Send("/c");
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  const HttpOutcome timed_out = Outcome(second);
+  EXPECT_EQ(timed_out.kind, HttpOutcomeKind::kTimedOut);
+  EXPECT_FALSE(timed_out.request_sent);
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+  EXPECT_EQ(Outcome(first).response.body, "a");
+  ASSERT_TRUE(peer.Expect("GET /c"));
+  EXPECT_EQ(peer.received().find("GET /b"), std::string::npos);
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nc");
+  EXPECT_EQ(Outcome(third).response.body, "c");
+}
+
+TEST_F(HttpClientTest, ClosesIdleConnections) {
+  HttpClientOptions options;
+  options.idle_timeout = std::chrono::milliseconds(30);
+  client_.emplace(context_, options);
+  const std::size_t sent = Send();
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+  EXPECT_EQ(Outcome(sent).kind, HttpOutcomeKind::kAnswered);
+  EXPECT_TRUE(peer.ExpectClose());
+}
+
+// Large bodies cross both ends in many parts, in both directions.
+TEST_F(HttpClientTest, ExchangesLargeBodiesWithTheServer) {
+  HttpServerOptions options;
+  options.max_body_bytes = 8 << 20;
+  HttpServer server(context_, RawPeer::Loopback(0), options,
+                    [](const std::shared_ptr<HttpExchange>& exchange) {
+                      HttpResponse response;
+                      response.body = exchange->request().body;
+                      exchange->Respond(std::move(response));
+                    });
+  HttpRequest request;
+  request.method = "POST";
+  for (int i = 0; request.body.size() < (6 << 20); ++i)
+    request.body += std::to_string(i) + ",";
+  int whole = 0;
+  for (int i = 0; i < 3; ++i) {
+    client_->Send(RawPeer::Loopback(server.port()), request, After(kLong),
+                  [&](const HttpOutcome& outcome) {
+                    whole += outcome.kind == HttpOutcomeKind::kAnswered &&
+                             outcome.response.body == request.body;
+                  });
+  }
+  EXPECT_TRUE(RunUntil(context_, [&] { return whole == 3; }));
+}
+
+// Abandonment must reach the handler through the client's own Cancel.
+TEST_F(HttpClientTest, CancelAbandonsTheServersRequest) {
+  std::shared_ptr<HttpExchange> held;
+  bool abandoned = false;
+  HttpServer server(context_, RawPeer::Loopback(0), {},
+                    [&](std::shared_ptr<HttpExchange> exchange) {
+                      exchange->OnAbandoned([&] { abandoned = true; });
+                      held = std::move(exchange);
+                    });
+  const HttpClient::Handle handle =
+      client_->Send(RawPeer::Loopback(server.port()), {}, After(kLong),
+                    [](const HttpOutcome&) {});
+  ASSERT_TRUE(RunUntil(context_, [&] { return held != nullptr; }));
+  client_->Cancel(handle);
+  EXPECT_TRUE(RunUntil(context_, [&] { return abandoned; }));
+}
+
+}  // namespace
+}  // namespace sesamespread::transport
