--- /dev/null
+++ b/include/sesamespread/transport/deadline_queue.h
@@ -0,0 +1,46 @@
+/// \file
+/// Many deadlines on one timer.
+#ifndef SESAMESPREAD_TRANSPORT_DEADLINE_QUEUE_H_
+#define SESAMESPREAD_TRANSPORT_DEADLINE_QUEUE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "sesamespread/state/time.h"
+
+namespace sesamespread::transport {
+
+/// The current instant of the monotonic clock.
+inline state::Instant Now() {
+  return std::chrono::time_point_cast<state::Duration>(
+      std::chrono::steady_clock::now());
+}
+
+/// Runs callbacks at their deadlines on an io_context's thread. Not
+/// thread-safe.
+class DeadlineQueue {
+ public:
+  using Id = std::uint64_t;
+
+  explicit DeadlineQueue(boost::asio::io_context& context);
+  ~DeadlineQueue();
+
+  DeadlineQueue(const DeadlineQueue&) = delete;
+  DeadlineQueue& operator=(const DeadlineQueue&) = delete;
+
+  /// Runs \p callback at or after \p at, never inside this call.
+  Id Schedule(state::Instant at, std::function<void()> callback);
+
+  /// No effect on a callback that has run.
+  void Cancel(Id id);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace sesamespread::transport
+
+#endif  // SESAMESPREAD_TRANSPORT_DEADLINE_QUEUE_H_
--- /dev/null
+++ b/include/sesamespread/transport/event_log.h
@@ -0,0 +1,84 @@
+/// \file
+/// Structured log: one line per event to standard error, written by a thread of
+/// its own so that a slow terminal never delays a request.
+#ifndef SESAMESPREAD_TRANSPORT_EVENT_LOG_H_
+#define SESAMESPREAD_TRANSPORT_EVENT_LOG_H_
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <semaphore>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "sesamespread/state/settings.h"
+#include "sesamespread/state/time.h"
+#include "sesamespread/transport/bounded_ring.h"
+
+namespace sesamespread::transport {
+
+using state::LogLevel;
+
+/// The threads that write events; each has its own ring.
+enum class Duty : std::uint8_t { kData, kControl, kPlatform, kMain };
+
+/// Fields of an event as key and value.
+using LogFields = std::vector<std::pair<std::string_view, std::string>>;
+
+/// Takes events from the duties' threads and prints them.
+class EventLog {
+ public:
+  /// Lines per event name and second; more are counted and reported in one.
+  static constexpr std::uint32_t kMaxLinesPerEventPerSecond = 20;
+
+  EventLog(LogLevel level, std::string node_name);
+  ~EventLog();
+
+  EventLog(const EventLog&) = delete;
+  EventLog& operator=(const EventLog&) = delete;
+
+  /// Writes an event. Only the thread of \p duty may call it with that value.
+  /// \p event is a string with static lifetime.
+  void Write(Duty duty,
+             LogLevel level,
+             std::string_view event,
+             const LogFields& fields);
+
+  /// Lines lost because a ring was full.
+  std::uint64_t lost_count() const;
+
+ private:
+  struct RateWindow {
+    std::int64_t second = 0;
+    std::uint32_t lines = 0;
+    std::uint64_t suppressed = 0;
+  };
+  struct Source {
+    explicit Source(std::function<void()> wake);
+    BoundedRing<std::string> ring;
+    // Touched only by the duty's own thread.
+    std::unordered_map<std::string_view, RateWindow> windows;
+  };
+
+  void Run();
+  void DrainAll();
+  Source& SourceOf(Duty duty) {
+    return *sources_[static_cast<std::size_t>(duty)];
+  }
+
+  const LogLevel level_;
+  const std::string node_name_;
+  std::counting_semaphore<> work_{0};
+  std::array<std::unique_ptr<Source>, 4> sources_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace sesamespread::transport
+
+#endif  // SESAMESPREAD_TRANSPORT_EVENT_LOG_H_
--- /dev/null
+++ b/include/sesamespread/transport/inbound_calls.h
@@ -0,0 +1,98 @@
+/// \file
+/// Calls from other nodes, handed to the local executor.
+#ifndef SESAMESPREAD_TRANSPORT_INBOUND_CALLS_H_
+#define SESAMESPREAD_TRANSPORT_INBOUND_CALLS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "sesamespread/protocol/messages.h"
+#include "sesamespread/state/node_record.h"
+#include "sesamespread/transport/call_executor.h"
+#include "sesamespread/transport/deadline_queue.h"
+#include "sesamespread/transport/peer_link.h"
+
+namespace sesamespread::transport {
+
+/// Links that one node accepts; 32,000 nodes call through subsets.
+constexpr std::size_t kMaxInboundLinks = 4096;
+
+/// Calls in progress on one link.
+constexpr std::size_t kMaxCallsPerLink = 8192;
+
+/// Bytes queued on a link above which no further chunk is added, so that
+/// small answers do not wait behind a large one.
+constexpr std::size_t kChunkWatermark = 256 << 10;
+
+/// Accepts links, executes their calls and sends the answers in chunks.
+class InboundCalls {
+ public:
+  /// A control message from a node; what \p reply is given goes back on the
+  /// same link.
+  using ControlHandler = std::function<void(
+      protocol::PeerMessage,
+      std::function<void(const protocol::PeerMessage&)> reply)>;
+
+  InboundCalls(boost::asio::io_context& context,
+               const state::Endpoint& endpoint,
+               protocol::Hello self,
+               CallExecutor& executor,
+               ControlHandler on_control);
+  ~InboundCalls();
+
+  InboundCalls(const InboundCalls&) = delete;
+  InboundCalls& operator=(const InboundCalls&) = delete;
+
+  std::uint16_t port() const { return listener_.port(); }
+
+  /// Sends \p message on each open link, so that callers learn of a leave
+  /// without the platform.
+  void Broadcast(const protocol::PeerMessage& message);
+
+  /// Calls in progress and answers not yet written.
+  std::size_t in_flight() const;
+
+  std::size_t link_count() const { return links_.size(); }
+
+ private:
+  // A large answer that is being sent.
+  struct Stream {
+    state::CallId call_id = 0;
+    std::shared_ptr<const std::string> body;
+    std::size_t offset = 0;
+  };
+
+  struct InboundLink {
+    std::shared_ptr<PeerLink> link;
+    // Calls in progress by the caller's call id.
+    std::unordered_map<state::CallId, CallExecutor::Handle> calls;
+    std::deque<Stream> streams;
+  };
+  using LinkId = std::uint64_t;
+
+  void OnAccept(std::shared_ptr<PeerLink> link);
+  void OnMessage(LinkId id, protocol::PeerMessage message);
+  void OnCall(LinkId id, protocol::CallRequest request);
+  void OnAnswer(LinkId id, protocol::CallAnswer answer);
+  void SendChunks(LinkId id);
+  void OnClosed(LinkId id);
+  void CheckLinks();
+
+  DeadlineQueue deadlines_;
+  const protocol::Hello self_;
+  CallExecutor& executor_;
+  ControlHandler on_control_;
+  std::unordered_map<LinkId, InboundLink> links_;
+  LinkId next_link_id_ = 1;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  PeerListener listener_;
+};
+
+}  // namespace sesamespread::transport
+
+#endif  // SESAMESPREAD_TRANSPORT_INBOUND_CALLS_H_
--- /dev/null
+++ b/include/sesamespread/transport/metrics.h
@@ -0,0 +1,69 @@
+/// \file
+/// Metrics of a node, by prometheus-cpp. Names and labels are documented in
+/// docs/METRICS.md; labels are services and result codes only, so that their
+/// number is bounded by the inventory.
+#ifndef SESAMESPREAD_TRANSPORT_METRICS_H_
+#define SESAMESPREAD_TRANSPORT_METRICS_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "sesamespread/state/result_code.h"
+#include "sesamespread/state/time.h"
+
+namespace sesamespread::transport {
+
+/// Values that are set as a whole, once a second.
+struct NodeGauges {
+  double in_progress = 0;
+  double queued = 0;
+  double limit = 0;
+  double threshold = 0;
+  double configuration_version = 0;
+  double nodes_alive = 0;
+  double nodes_known = 0;
+  double isolated = 0;
+  double links_open = 0;
+  double unmatched_answers = 0;
+  double ring_overflows = 0;
+  double gossip_bytes_sent = 0;
+};
+
+/// Counters and gauges of one node. All methods may be called by any thread.
+class Metrics {
+ public:
+  /// Services with series of their own; further ones share "other".
+  static constexpr std::size_t kMaxServices = 2048;
+
+  Metrics();
+  ~Metrics();
+
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  /// A request of a caller has ended.
+  void CountRequest(std::string_view service,
+                    state::ResultCode result,
+                    state::Duration latency);
+
+  /// A call that the local backend server executed, or that was refused there.
+  void CountExecution(std::string_view service, state::ResultCode result);
+
+  /// A retry made by this node.
+  void CountRetry(std::string_view service);
+
+  void SetGauges(const NodeGauges& gauges);
+
+  /// The Prometheus text format.
+  std::string Serialize() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace sesamespread::transport
+
+#endif  // SESAMESPREAD_TRANSPORT_METRICS_H_
--- /dev/null
+++ b/lib/transport/event_log.cc
@@ -0,0 +1,120 @@
+/// \file
+/// Structured log lines.
+#include "sesamespread/transport/event_log.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <cstdio>
+
+namespace sesamespread::transport {
+namespace {
+
+// About a second of the busiest duty at the permitted rate of lines.
+constexpr std::size_t kRingCapacity = 4096;
+
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() ||
+         value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+std::string Quoted(std::string_view value) {
+  std::string quoted = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\')
+      quoted += '\\';
+    quoted += c == '\n' || c == '\r' ? ' ' : c;
+  }
+  return quoted + "\"";
+}
+
+std::int64_t CurrentSecond() {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string Timestamp() {
+  const auto now = std::chrono::system_clock::now();
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now.time_since_epoch())
+                          .count() %
+                      1000;
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                     fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                     millis);
+}
+
+}  // namespace
+
+EventLog::Source::Source(std::function<void()> wake)
+    : ring(kRingCapacity, std::move(wake)) {}
+
+EventLog::EventLog(LogLevel level, std::string node_name)
+    : level_(level), node_name_(std::move(node_name)) {
+  for (auto& source : sources_)
+    source = std::make_unique<Source>([this] { work_.release(); });
+  thread_ = std::thread([this] { Run(); });
+}
+
+EventLog::~EventLog() {
+  stopping_ = true;
+  work_.release();
+  thread_.join();
+}
+
+void EventLog::Write(Duty duty,
+                     LogLevel level,
+                     std::string_view event,
+                     const LogFields& fields) {
+  if (level < level_)
+    return;
+  Source& source = SourceOf(duty);
+  RateWindow& window = source.windows[event];
+  const std::int64_t second = CurrentSecond();
+  std::uint64_t suppressed = 0;
+  if (window.second != second) {
+    suppressed = window.suppressed;
+    window = {second, 0, 0};
+  }
+  if (++window.lines > kMaxLinesPerEventPerSecond) {
+    ++window.suppressed;
+    return;
+  }
+  std::string line = fmt::format("time={} level={} node={} event={}",
+                                 Timestamp(),
+                                 state::ToString(level),
+                                 node_name_, event);
+  for (const auto& [key, value] : fields)
+    line += fmt::format(" {}={}", key,
+                        NeedsQuotes(value) ? Quoted(value) : value);
+  if (suppressed > 0)
+    line += fmt::format(" suppressed={}", suppressed);
+  line += '\n';
+  source.ring.Push(std::move(line));
+}
+
+std::uint64_t EventLog::lost_count() const {
+  std::uint64_t lost = 0;
+  for (const auto& source : sources_)
+    lost += source->ring.overflow_count();
+  return lost;
+}
+
+void EventLog::Run() {
+  while (!stopping_) {
+    work_.acquire();
+    DrainAll();
+  }
+  DrainAll();
+}
+
+void EventLog::DrainAll() {
+  for (const auto& source : sources_) {
+    source->ring.Drain([](const std::string& line) {
+      std::fwrite(line.data(), 1, line.size(), stderr);
+    });
+  }
+}
+
+}  // namespace sesamespread::transport
--- /dev/null
+++ b/lib/transport/outbound_calls.cc
@@ -0,0 +1,400 @@
+/// \file
+/// Calls to other nodes.
+#include "sesamespread/transport/outbound_calls.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "sesamespread/protocol/codec.h"
+
+namespace sesamespread::transport {
+namespace {
+
+// How often links are checked for silence.
+constexpr state::Duration kLinkCheckInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
+protocol::CallAnswer FailedAnswer(const protocol::CallRequest& request,
+                                  state::ResultCode result,
+                                  state::RunState run_state,
+                                  std::string detail) {
+  protocol::CallAnswer answer;
+  answer.call_id = request.call_id;
+  answer.request_id = request.request_id;
+  answer.result = result;
+  answer.run_state = run_state;
+  answer.detail = std::move(detail);
+  // What was handed down to a call that certainly did not run is unspent.
+  if (run_state == state::RunState::kNotRun)
+    answer.unused_allotment = request.allotment;
+  return answer;
+}
+
+OutboundCalls::OutboundCalls(boost::asio::io_context& context,
+                             DeadlineQueue& deadlines,
+                             protocol::Hello self,
+                             ControlHandler on_control)
+    : context_(context),
+      deadlines_(deadlines),
+      self_(std::move(self)),
+      on_control_(std::move(on_control)) {
+  CheckLinks();
+}
+
+OutboundCalls::~OutboundCalls() {
+  *alive_ = false;
+  for (auto& [node, session] : sessions_) {
+    if (session.link)
+      session.link->Close("node stops");
+  }
+}
+
+OutboundCalls::Handle OutboundCalls::Call(state::NodeId node,
+                                          const state::Endpoint& endpoint,
+                                          protocol::CallRequest request,
+                                          state::Instant deadline,
+                                          std::uint64_t max_answer_bytes,
+                                          AnswerCallback done) {
+  const Handle handle = next_handle_++;
+  request.call_id = handle;
+  PendingCall& call = calls_[handle];
+  call.request = std::move(request);
+  call.node = node;
+  call.max_answer_bytes = max_answer_bytes;
+  call.done = std::move(done);
+  call.deadline_id =
+      deadlines_.Schedule(deadline, [this, handle] { OnDeadline(handle); });
+  Session& session = SessionOf(node, endpoint);
+  session.last_used = Now();
+  if (session.ready && !call.request.repeatable &&
+      Now() - session.link->last_received() >= kLinkFreshness)
+    VerifyLink(node, session);
+  if (session.ready) {
+    SendCall(handle, call, session);
+    return handle;
+  }
+  if (session.waiting_calls.size() >= kMaxWaitingPerNode) {
+    boost::asio::post(context_, [this, handle, alive = alive_] {
+      if (*alive)
+        FailCall(handle, state::ResultCode::kNodeBusy,
+                 state::RunState::kNotRun, "too many calls wait for the link");
+    });
+    return handle;
+  }
+  session.waiting_calls.push_back(handle);
+  Connect(node);
+  return handle;
+}
+
+void OutboundCalls::Cancel(Handle handle) {
+  const auto found = calls_.find(handle);
+  if (found == calls_.end())
+    return;
+  const PendingCall& call = found->second;
+  if (call.link) {
+    call.link->Send(protocol::Cancel{handle});
+    Session& session = sessions_[call.node];
+    if (session.link == call.link)
+      --session.in_flight;
+  }
+  deadlines_.Cancel(call.deadline_id);
+  calls_.erase(found);
+}
+
+void OutboundCalls::SendControl(state::NodeId node,
+                                const state::Endpoint& endpoint,
+                                protocol::PeerMessage message) {
+  Session& session = SessionOf(node, endpoint);
+  session.last_used = Now();
+  if (session.ready) {
+    session.link->Send(message);
+    return;
+  }
+  if (session.waiting_control.size() >= kMaxWaitingPerNode)
+    return;
+  session.waiting_control.push_back(std::move(message));
+  Connect(node);
+}
+
+void OutboundCalls::Broadcast(const protocol::PeerMessage& message) {
+  for (auto& [node, session] : sessions_) {
+    if (session.ready)
+      session.link->Send(message);
+  }
+}
+
+std::size_t OutboundCalls::open_links() const {
+  return static_cast<std::size_t>(
+      std::count_if(sessions_.begin(), sessions_.end(),
+                    [](const auto& entry) { return entry.second.link; }));
+}
+
+OutboundCalls::Session& OutboundCalls::SessionOf(
+    state::NodeId node,
+    const state::Endpoint& endpoint) {
+  Session& session = sessions_[node];
+  // A node that came back at another address gets a new link.
+  if (session.endpoint != endpoint && session.link) {
+    session.ready = false;
+    std::exchange(session.link, nullptr)->Close("the node has a new address");
+  }
+  session.endpoint = endpoint;
+  return session;
+}
+
+void OutboundCalls::Connect(state::NodeId node) {
+  Session& session = sessions_[node];
+  if (session.connecting || session.link)
+    return;
+  session.connecting = true;
+  ConnectPeer(context_, session.endpoint, kPeerConnectTimeout,
+              [this, node, alive = alive_](std::shared_ptr<PeerLink> link) {
+                if (*alive)
+                  OnConnected(node, std::move(link));
+              });
+}
+
+void OutboundCalls::OnConnected(state::NodeId node,
+                                std::shared_ptr<PeerLink> link) {
+  Session& session = sessions_[node];
+  session.connecting = false;
+  if (!link) {
+    FailWaiting(session);
+    return;
+  }
+  session.link = link;
+  session.ready = false;
+  session.proven = false;
+  session.in_flight = 0;
+  std::weak_ptr<PeerLink> weak = link;
+  link->Start(
+      [this, node, weak, alive = alive_](protocol::PeerMessage message) {
+        const auto locked = weak.lock();
+        if (*alive && locked)
+          OnMessage(node, locked, std::move(message));
+      },
+      [this, node, raw = link.get(), alive = alive_](const std::string& why) {
+        if (*alive)
+          OnLinkClosed(node, raw, why);
+      });
+  link->Send(self_);
+  ExpectReady(node, link);
+}
+
+void OutboundCalls::ExpectReady(state::NodeId node,
+                                const std::shared_ptr<PeerLink>& link) {
+  deadlines_.Schedule(
+      Now() + kLinkReadyTimeout,
+      [this, node, weak = std::weak_ptr(link), alive = alive_] {
+        const auto locked = weak.lock();
+        if (!*alive || !locked)
+          return;
+        Session& session = sessions_[node];
+        if (session.link == locked && !session.ready)
+          locked->Close("the node does not respond on the link");
+      });
+}
+
+void OutboundCalls::VerifyLink(state::NodeId node, Session& session) {
+  session.ready = false;
+  session.link->SendPing();
+  ExpectReady(node, session.link);
+}
+
+void OutboundCalls::Flush(Session& session) {
+  for (const protocol::PeerMessage& message :
+       std::exchange(session.waiting_control, {}))
+    session.link->Send(message);
+  for (const Handle handle : std::exchange(session.waiting_calls, {})) {
+    const auto found = calls_.find(handle);
+    if (found != calls_.end())
+      SendCall(handle, found->second, session);
+  }
+}
+
+void OutboundCalls::SendCall(Handle handle,
+                             PendingCall& call,
+                             Session& session) {
+  if (session.link->Send(call.request)) {
+    call.link = session.link;
+    ++session.in_flight;
+    // The request is not needed any more but for its identity and allotment.
+    call.request.body.clear();
+    return;
+  }
+  boost::asio::post(context_, [this, handle, alive = alive_] {
+    if (*alive)
+      FailCall(handle, state::ResultCode::kConnectFailed,
+               state::RunState::kNotRun, "the link's queue is full or closed");
+  });
+}
+
+void OutboundCalls::FailWaiting(Session& session) {
+  session.waiting_control.clear();
+  for (const Handle handle : std::exchange(session.waiting_calls, {}))
+    FailCall(handle, state::ResultCode::kConnectFailed,
+             state::RunState::kNotRun, "no connection to the node");
+}
+
+void OutboundCalls::OnLinkClosed(state::NodeId node,
+                                 const PeerLink* link,
+                                 const std::string& reason) {
+  Session& session = sessions_[node];
+  if (session.link.get() == link) {
+    session.ready = false;
+    session.link = nullptr;
+    // What was not sent gets one more link unless this one never worked.
+    if (session.proven)
+      Connect(node);
+    else
+      FailWaiting(session);
+  }
+  std::vector<Handle> lost;
+  for (const auto& [handle, call] : calls_) {
+    if (call.link.get() == link)
+      lost.push_back(handle);
+  }
+  for (const Handle handle : lost)
+    FailCall(handle, state::ResultCode::kLinkLost, state::RunState::kUnknown,
+             reason);
+}
+
+void OutboundCalls::OnMessage(state::NodeId node,
+                              const std::shared_ptr<PeerLink>& link,
+                              protocol::PeerMessage message) {
+  Session& session = sessions_[node];
+  if (const auto* hello = std::get_if<protocol::Hello>(&message)) {
+    if (hello->node != node) {
+      link->Close("another node answers at this address");
+      return;
+    }
+  }
+  if (session.link == link && !session.ready) {
+    session.ready = true;
+    session.proven = true;
+    Flush(session);
+  }
+  if (auto* answer = std::get_if<protocol::CallAnswer>(&message)) {
+    OnAnswer(link, std::move(*answer));
+    return;
+  }
+  if (const auto* chunk = std::get_if<protocol::AnswerChunk>(&message)) {
+    OnChunk(link, *chunk);
+    return;
+  }
+  on_control_(node, std::move(message));
+}
+
+void OutboundCalls::OnAnswer(const std::shared_ptr<PeerLink>& link,
+                             protocol::CallAnswer answer) {
+  const Handle handle = answer.call_id;
+  const auto found = calls_.find(handle);
+  // An answer counts only on the link its call was sent on and with its
+  // request's id; anything else is late or belongs to no one.
+  if (found == calls_.end() || found->second.link != link ||
+      found->second.request.request_id != answer.request_id ||
+      found->second.answer) {
+    ++unmatched_answers_;
+    return;
+  }
+  if (answer.body_size > found->second.max_answer_bytes) {
+    link->Send(protocol::Cancel{handle});
+    FailCall(handle, state::ResultCode::kAnswerTooLarge, state::RunState::kRan,
+             "the answer exceeds max_answer_bytes");
+    return;
+  }
+  found->second.answer =
+      std::make_unique<protocol::CallAnswer>(std::move(answer));
+  CheckComplete(handle);
+}
+
+void OutboundCalls::OnChunk(const std::shared_ptr<PeerLink>& link,
+                            const protocol::AnswerChunk& chunk) {
+  const auto found = calls_.find(chunk.call_id);
+  if (found == calls_.end() || found->second.link != link ||
+      !found->second.answer) {
+    ++unmatched_answers_;
+    return;
+  }
+  std::string& body = found->second.answer->body;
+  if (chunk.offset != body.size() || chunk.body.empty()) {
+    FailCall(chunk.call_id, state::ResultCode::kDigestMismatch,
+             state::RunState::kUnknown, "a part of the answer is missing");
+    return;
+  }
+  body += chunk.body;
+  CheckComplete(chunk.call_id);
+}
+
+void OutboundCalls::CheckComplete(Handle handle) {
+  protocol::CallAnswer& answer = *calls_.at(handle).answer;
+  if (answer.body.size() < answer.body_size)
+    return;
+  if (answer.body.size() > answer.body_size ||
+      protocol::DigestOf(answer.body) != answer.body_digest) {
+    FailCall(handle, state::ResultCode::kDigestMismatch, state::RunState::kRan,
+             "the answer's length or digest does not match");
+    return;
+  }
+  Finish(handle, std::move(answer));
+}
+
+void OutboundCalls::OnDeadline(Handle handle) {
+  const auto found = calls_.find(handle);
+  if (found == calls_.end())
+    return;
+  PendingCall& call = found->second;
+  if (!call.link) {
+    FailCall(handle, state::ResultCode::kDeadlineBeforeStart,
+             state::RunState::kNotRun, "the deadline passed before a link opened");
+    return;
+  }
+  call.link->Send(protocol::Cancel{handle});
+  FailCall(handle, state::ResultCode::kTimedOut, state::RunState::kUnknown,
+           "no answer from the executing node");
+}
+
+void OutboundCalls::FailCall(Handle handle,
+                             state::ResultCode result,
+                             state::RunState run_state,
+                             std::string detail) {
+  const auto found = calls_.find(handle);
+  if (found == calls_.end())
+    return;
+  Finish(handle, FailedAnswer(found->second.request, result, run_state,
+                              std::move(detail)));
+}
+
+void OutboundCalls::Finish(Handle handle, protocol::CallAnswer answer) {
+  auto node = calls_.extract(handle);
+  deadlines_.Cancel(node.mapped().deadline_id);
+  Session& session = sessions_[node.mapped().node];
+  if (node.mapped().link && session.link == node.mapped().link)
+    --session.in_flight;
+  // What comes back is never more than what was handed down.
+  answer.unused_allotment =
+      std::min(answer.unused_allotment, node.mapped().request.allotment);
+  node.mapped().done(std::move(answer));
+}
+
+void OutboundCalls::CheckLinks() {
+  const state::Instant now = Now();
+  // After a pause of this process, what arrived meanwhile is read first.
+  const bool was_paused = now - last_check_ > 3 * kLinkCheckInterval;
+  last_check_ = now;
+  for (auto& [node, session] : sessions_) {
+    if (!session.link || was_paused)
+      continue;
+    session.link->CheckProgress(now, session.in_flight > 0);
+    if (session.in_flight == 0 && now - session.last_used >= kLinkIdleTimeout)
+      session.link->Close("idle");
+  }
+  deadlines_.Schedule(now + kLinkCheckInterval, [this, alive = alive_] {
+    if (*alive)
+      CheckLinks();
+  });
+}
+
+}  // namespace sesamespread::transport
--- /dev/null
+++ b/lib/transport/peer_link.cc
@@ -0,0 +1,223 @@
+/// \file
+/// Framed TCP connections between nodes.
+#include "sesamespread/transport/peer_link.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "sesamespread/protocol/codec.h"
+#include "sesamespread/transport/deadline_queue.h"
+
+namespace sesamespread::transport {
+namespace {
+
+namespace asio = boost::asio;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+// Frames handed to the kernel in one call.
+constexpr std::size_t kMaxFramesPerWrite = 64;
+
+tcp::endpoint ToAsio(const state::Endpoint& endpoint) {
+  return {asio::ip::make_address(endpoint.address), endpoint.port};
+}
+
+}  // namespace
+
+PeerLink::PeerLink(tcp::socket socket)
+    : socket_(std::move(socket)), last_received_(Now()) {
+  error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+}
+
+void PeerLink::Start(MessageHandler on_message, ClosedHandler on_closed) {
+  on_message_ = std::move(on_message);
+  on_closed_ = std::move(on_closed);
+  ReadHeader();
+}
+
+bool PeerLink::Send(const protocol::PeerMessage& message) {
+  if (!open_)
+    return false;
+  std::string frame = protocol::EncodeFrame(message);
+  if (queued_bytes_ + frame.size() > kMaxQueuedBytes)
+    return false;
+  queued_bytes_ += frame.size();
+  queue_.push_back(std::move(frame));
+  if (writing_.empty())
+    WriteNext();
+  return true;
+}
+
+void PeerLink::Close(const std::string& reason) {
+  if (!open_)
+    return;
+  open_ = false;
+  error_code ignored;
+  socket_.close(ignored);
+  asio::post(socket_.get_executor(), [self = shared_from_this(), reason] {
+    if (self->on_closed_)
+      std::exchange(self->on_closed_, nullptr)(reason);
+    self->on_message_ = nullptr;
+    self->on_written_ = nullptr;
+  });
+}
+
+void PeerLink::CheckProgress(state::Instant now, bool owes_answer) {
+  if (!open_)
+    return;
+  if (ping_outstanding_) {
+    if (now - std::max(ping_sent_, last_received_) >=
+        kLinkSilenceTimeout - kPingInterval)
+      Close("no data received while a ping was unanswered");
+    return;
+  }
+  if (owes_answer && now - last_received_ >= kPingInterval)
+    SendPing();
+}
+
+void PeerLink::SendPing() {
+  ping_outstanding_ = true;
+  ping_sent_ = Now();
+  Send(protocol::Ping{next_ping_token_++});
+}
+
+void PeerLink::ReadHeader() {
+  read_buffer_.resize(protocol::kFrameHeaderBytes);
+  asio::async_read(
+      socket_, asio::buffer(read_buffer_),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (error) {
+          self->Close(error.message());
+          return;
+        }
+        self->last_received_ = Now();
+        const std::uint32_t size =
+            protocol::DecodeFrameLength(self->read_buffer_);
+        if (size == 0 || size > protocol::kMaxFrameBytes) {
+          self->Close("frame length out of bounds");
+          return;
+        }
+        self->ReadPayload(size);
+      });
+}
+
+void PeerLink::ReadPayload(std::size_t size) {
+  read_buffer_.resize(size);
+  asio::async_read(
+      socket_, asio::buffer(read_buffer_),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (error) {
+          self->Close(error.message());
+          return;
+        }
+        self->OnPayload();
+      });
+}
+
+void PeerLink::OnPayload() {
+  last_received_ = Now();
+  auto message = protocol::DecodePayload(read_buffer_);
+  if (!message) {
+    Close("frame is not a valid message");
+    return;
+  }
+  ping_outstanding_ = false;
+  if (const auto* ping = std::get_if<protocol::Ping>(&*message))
+    Send(protocol::Pong{ping->token});
+  else if (!std::holds_alternative<protocol::Pong>(*message) && on_message_)
+    on_message_(std::move(*message));
+  if (open_)
+    ReadHeader();
+}
+
+void PeerLink::WriteNext() {
+  std::vector<asio::const_buffer> buffers;
+  while (!queue_.empty() && writing_.size() < kMaxFramesPerWrite) {
+    writing_.push_back(std::move(queue_.front()));
+    queue_.pop_front();
+  }
+  buffers.reserve(writing_.size());
+  for (const std::string& frame : writing_)
+    buffers.push_back(asio::buffer(frame));
+  asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        for (const std::string& frame : self->writing_)
+          self->queued_bytes_ -= frame.size();
+        self->writing_.clear();
+        if (error) {
+          self->Close(error.message());
+          return;
+        }
+        if (self->open_ && self->on_written_)
+          self->on_written_();
+        if (!self->queue_.empty() && self->writing_.empty())
+          self->WriteNext();
+      });
+}
+
+PeerListener::PeerListener(asio::io_context& context,
+                           const state::Endpoint& endpoint,
+                           AcceptHandler on_accept)
+    : acceptor_(context, ToAsio(endpoint)), on_accept_(std::move(on_accept)) {
+  AcceptNext();
+}
+
+std::uint16_t PeerListener::port() const {
+  return acceptor_.local_endpoint().port();
+}
+
+void PeerListener::Stop() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void PeerListener::AcceptNext() {
+  acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted)
+      return;
+    if (!error)
+      on_accept_(std::make_shared<PeerLink>(std::move(socket)));
+    AcceptNext();
+  });
+}
+
+void ConnectPeer(asio::io_context& context,
+                 const state::Endpoint& endpoint,
+                 state::Duration timeout,
+                 std::function<void(std::shared_ptr<PeerLink>)> done) {
+  struct Attempt {
+    explicit Attempt(asio::io_context& context)
+        : socket(context), timer(context) {}
+    tcp::socket socket;
+    asio::steady_timer timer;
+    bool timed_out = false;
+  };
+  auto attempt = std::make_shared<Attempt>(context);
+  attempt->timer.expires_after(timeout);
+  attempt->timer.async_wait([attempt](const error_code& error) {
+    if (error)
+      return;
+    attempt->timed_out = true;
+    error_code ignored;
+    attempt->socket.close(ignored);
+  });
+  attempt->socket.async_connect(
+      ToAsio(endpoint),
+      [attempt, done = std::move(done)](const error_code& error) {
+        attempt->timer.cancel();
+        if (error || attempt->timed_out) {
+          done(nullptr);
+          return;
+        }
+        done(std::make_shared<PeerLink>(std::move(attempt->socket)));
+      });
+}
+
+}  // namespace sesamespread::transport
