--- /dev/null
+++ b/include/sesamespread/coordination/configuration_writer.h
@@ -0,0 +1,134 @@
+/// \file
+/// Writes a new version of the configuration by compare-and-swap, so that of
+/// several operators exactly one succeeds, and never reports a guess about a
+/// write whose reply was lost.
+#ifndef SESAMESPREAD_COORDINATION_CONFIGURATION_WRITER_H_
+#define SESAMESPREAD_COORDINATION_CONFIGURATION_WRITER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "sesamespread/coordination/configuration_rows.h"
+#include "sesamespread/coordination/table_store.h"
+#include "sesamespread/state/configuration.h"
+#include "sesamespread/state/result_code.h"
+#include "sesamespread/state/time.h"
+
+namespace sesamespread::coordination {
+
+/// The change record that leads from \p base to \p target. \p attempt must be
+/// random, so that no two attempts share it.
+ChangeRecord MakeChange(const state::Configuration& base,
+                        const state::Configuration::Entries& target,
+                        std::string who,
+                        std::string why,
+                        state::WallTime when,
+                        const state::RequestId& attempt);
+
+/// Bounds of one write.
+struct WriterBounds {
+  /// From start to result, the time of the last call aside.
+  state::Duration total = std::chrono::seconds(15);
+  /// Calls to the platform.
+  std::uint32_t max_requests = 16;
+  /// Wait before the first repetition; doubled for each further one.
+  state::Duration first_wait = std::chrono::milliseconds(50);
+  state::Duration max_wait = std::chrono::seconds(2);
+};
+
+/// How a write ended.
+struct WriteResult {
+  /// kOk, kConfigurationConflict, kPlatformUnavailable, kUnauthorized or
+  /// kConfigurationInvalid (the platform calls the request invalid).
+  state::ResultCode code = state::ResultCode::kOk;
+  /// kRan or kNotRun only if certain.
+  state::RunState run_state = state::RunState::kRan;
+  /// The new version for kOk.
+  state::ConfigurationVersion version = 0;
+  /// The change that was accepted instead, for kConfigurationConflict; nullopt
+  /// if it can't be read.
+  std::optional<ChangeRecord> winner;
+  std::string detail;
+};
+
+/// State machine of one write. The caller sends pending() no earlier than
+/// not_before() and hands in the reply, until done().
+class ConfigurationWriter {
+ public:
+  struct ReadRowRequest {
+    std::string key;
+  };
+  using Request = std::variant<ReadRowRequest, TableTransaction>;
+
+  ConfigurationWriter(ChangeRecord change,
+                      const WriterBounds& bounds,
+                      state::Instant now);
+
+  bool done() const { return result_.has_value(); }
+  /// \pre done().
+  const WriteResult& result() const { return *result_; }
+  /// \pre !done().
+  const Request& pending() const { return pending_; }
+  state::Instant not_before() const { return not_before_; }
+
+  void OnReply(state::Instant now, const RowReply& reply);
+  void OnReply(state::Instant now, const CommitReply& reply);
+
+ private:
+  enum class Stage : std::uint8_t {
+    kReadHead,
+    kCommit,
+    kReadBack,
+    kReadWinner
+  };
+
+  void OnHead(state::Instant now, const RowReply& reply);
+  void OnChangeRow(state::Instant now, const RowReply& reply);
+  void OnConditionFailed(state::Instant now, const CommitReply& reply);
+  // Ends the write: the change row of the version is known for good.
+  void Settle(const std::string& stored_row);
+  // Sends the next request at once, or after a wait that grows.
+  void Go(state::Instant now, Stage stage);
+  void GoLater(state::Instant now, Stage stage);
+  void SetPending(state::Instant now, Stage stage, state::Duration wait);
+  void GiveUp();
+  bool FinishedByRefusal(StoreStatus status, const std::string& detail);
+  void Finish(state::ResultCode code,
+              state::RunState run_state,
+              const std::string& detail);
+  TableTransaction MakeTransaction() const;
+
+  ChangeRecord change_;
+  WriterBounds bounds_;
+  state::Instant deadline_;
+  Stage stage_ = Stage::kReadHead;
+  Request pending_;
+  state::Instant not_before_;
+  std::uint32_t requests_ = 0;
+  std::uint32_t repetitions_ = 0;
+  // Version of the head's row that the transaction compares; nullopt if absent.
+  std::optional<std::uint64_t> head_row_version_;
+  // True from the first transaction without a reply: it may take effect at any
+  // later time, so that only the change row of the version settles the outcome.
+  bool in_doubt_ = false;
+  std::string last_detail_;
+  std::optional<WriteResult> result_;
+};
+
+/// The clock that RunWriter uses.
+struct WriterClock {
+  std::function<state::Instant()> now;
+  std::function<void(state::Instant)> wait_until;
+};
+
+/// Drives \p writer with calls to \p store until it is done.
+WriteResult RunWriter(ConfigurationWriter& writer,
+                      TableStore& store,
+                      const WriterClock& clock);
+
+}  // namespace sesamespread::coordination
+
+#endif  // SESAMESPREAD_COORDINATION_CONFIGURATION_WRITER_H_
