--- /dev/null
+++ b/include/sesamespread/coordination/retry_budget.h
@@ -0,0 +1,301 @@
+/// \file
+/// Bounds on retries: the allotment of each request over its whole chain of
+/// calls, the repeats made by its caller, and the share of retries at a node.
+#ifndef SESAMESPREAD_COORDINATION_RETRY_BUDGET_H_
+#define SESAMESPREAD_COORDINATION_RETRY_BUDGET_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "sesamespread/state/request_context.h"
+#include "sesamespread/state/result_code.h"
+#include "sesamespread/state/time.h"
+
+namespace sesamespread::coordination {
+
+/// Names a request in progress to the backend server that executes it; 0 names
+/// none.
+using Ticket = std::uint64_t;
+
+/// Id of one attempt of a sub-call in a ledger; never reused. 0 stands for a
+/// sub-call without context, which has no retries.
+using AttemptId = std::uint64_t;
+
+/// An attempt of a sub-call and the retries handed down with it.
+struct Attempt {
+  AttemptId id = 0;
+  std::uint32_t allotment = 0;
+
+  auto operator<=>(const Attempt&) const = default;
+};
+
+/// Retry allotments of the requests in progress at a node. A unit of allotment
+/// is at any time in exactly one place: in an entry, handed down with an
+/// attempt, or spent. A retry spends one, so that the retries of a whole chain
+/// never exceed the allotment at its first node.
+class RequestLedger {
+ public:
+  struct Options {
+    /// Entries at a time, at least the slots and the queue of the server.
+    std::size_t max_entries = 16384;
+    /// Sub-calls in flight per entry. Further ones get allotment 0.
+    std::size_t max_attempts_per_entry = 256;
+    /// An entry is dropped this long after its deadline if nobody closed it.
+    state::Duration grace = std::chrono::seconds(5);
+  };
+
+  RequestLedger();
+  explicit RequestLedger(Options options);
+
+  /// Adds an entry. False if \p ticket is 0 or in use, or the table is full;
+  /// then the request's sub-calls have no allotment.
+  bool Open(Ticket ticket,
+            const state::RequestContext& context,
+            state::Instant now);
+
+  /// Adds an entry that is kept until \p expires, whatever its deadline.
+  bool OpenUntil(Ticket ticket,
+                 const state::RequestContext& context,
+                 state::Instant expires,
+                 state::Instant now);
+
+  /// The context that sub-calls inherit; nullptr for an unknown ticket. Valid
+  /// until the next call of a non-const member.
+  const state::RequestContext* FindContext(Ticket ticket) const;
+
+  /// Starts the first attempt of a sub-call and deducts what is handed down
+  /// with it: half of what remains, rounded up, so that the hop next to a fault
+  /// can retry and parallel sub-calls find something left. An unknown ticket
+  /// gives {0, 0}.
+  Attempt Reserve(Ticket ticket, state::Instant now);
+
+  /// Starts the next attempt of a sub-call; deducts one for the retry and a
+  /// share to hand down. Nullopt if nothing remains or the attempt is unknown.
+  /// What the previous attempt holds is spent unless it was settled before; an
+  /// answer to it that arrives later returns nothing.
+  std::optional<Attempt> Retry(AttemptId previous, state::Instant now);
+
+  /// The answer to an attempt returned \p unused; at most what was handed down
+  /// is credited, once.
+  void Settle(AttemptId attempt, std::uint32_t unused);
+
+  /// No answer will come to the attempt: what it holds stays spent.
+  void Lose(AttemptId attempt);
+
+  /// The sub-call is over; forgets its attempt.
+  void Finish(AttemptId attempt);
+
+  /// Deducts one unit; false if none remains. For repeats by the caller.
+  bool Spend(Ticket ticket);
+
+  /// What remains in the entry; 0 for an unknown ticket.
+  std::uint32_t Remaining(Ticket ticket) const;
+
+  /// Ends the entry. Returns the unused allotment, to be sent with the answer;
+  /// what attempts still hold is spent.
+  std::uint32_t Close(Ticket ticket);
+
+  /// Drops entries past their time limit.
+  void Tick(state::Instant now);
+
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct Entry {
+    state::RequestContext context;
+    std::uint32_t remaining = 0;
+    state::Instant expires{};
+    std::vector<AttemptId> attempts;
+  };
+  struct Outstanding {
+    Ticket ticket = 0;
+    std::uint32_t held = 0;
+  };
+  using Expiry = std::pair<state::Instant, Ticket>;
+
+  Attempt Start(Ticket ticket, Entry& entry);
+  void Detach(Ticket ticket, AttemptId attempt);
+
+  Options options_;
+  AttemptId next_attempt_ = 1;
+  std::unordered_map<Ticket, Entry> entries_;
+  std::unordered_map<AttemptId, Outstanding> attempts_;
+  std::priority_queue<Expiry, std::vector<Expiry>, std::greater<>> expiries_;
+};
+
+/// Identifies a caller's request across repeats by the caller; nullopt if it
+/// carries neither an idempotency key nor a trace id. A trace may hold several
+/// requests, so service, method and path are part of the value there.
+std::optional<std::uint64_t> RepeatKeyOf(std::uint64_t caller_identity,
+                                         std::string_view idempotency_key,
+                                         std::string_view trace_id,
+                                         std::string_view service,
+                                         std::string_view method,
+                                         std::string_view path);
+
+/// Counts repeats that a caller makes of its own request against that request's
+/// allotment. Used at the first node, after first-hop shedding: a request that
+/// is shed there reaches no server and uses no allotment.
+class EntryTable {
+ public:
+  struct Options {
+    /// Requests remembered at a time: 2,184 a second over the window.
+    std::size_t max_entries = 65536;
+    /// How long after its last repeat a request is remembered.
+    state::Duration window = std::chrono::seconds(30);
+  };
+
+  enum class Verdict : std::uint8_t {
+    /// Not seen within the window.
+    kFirst,
+    /// A repeat; one unit of the allotment was deducted.
+    kRepeat,
+    /// A repeat, and the allotment is spent: refuse with kRetryBudgetSpent.
+    kSpent,
+    /// The table is full: refuse with kNodeBusy. Admitting it would leave its
+    /// repeats uncounted.
+    kFull,
+  };
+
+  struct Admission {
+    Verdict verdict = Verdict::kFull;
+    /// For the ledger() of this table; 0 unless admitted.
+    Ticket ticket = 0;
+  };
+
+  EntryTable();
+  explicit EntryTable(Options options);
+
+  /// Admits a request. \p repeat_key is that of RepeatKeyOf; without one the
+  /// request counts as new. The entry's context is that of the first request.
+  Admission Admit(std::optional<std::uint64_t> repeat_key,
+                  const state::RequestContext& context,
+                  state::Instant now);
+
+  /// Ends an admission without repeat key, which needs no memory after its
+  /// answer. Does nothing for other tickets.
+  void Finish(Ticket ticket);
+
+  /// Drops requests that were last seen a window ago.
+  void Tick(state::Instant now);
+
+  /// Attempts of admitted requests: Reserve, Retry, Settle, Lose.
+  RequestLedger& ledger() { return ledger_; }
+
+  std::size_t size() const { return ledger_.size(); }
+
+ private:
+  struct Known {
+    Ticket ticket = 0;
+    state::Instant last_seen{};
+  };
+
+  Options options_;
+  Ticket next_ticket_ = 1;
+  RequestLedger ledger_;
+  std::unordered_map<std::uint64_t, Known> known_;
+  std::unordered_map<Ticket, bool> unkeyed_;
+  std::deque<std::pair<state::Instant, std::uint64_t>> order_;
+};
+
+/// Bound on the share of retries at a node. In a surge, retries only add load.
+class NodeRetryBudget {
+ public:
+  struct Options {
+    /// Retries allowed per first attempt.
+    double ratio = 0.1;
+    /// Retries allowed at any rate of first attempts, per second.
+    double minimum_per_second = 3;
+  };
+
+  NodeRetryBudget();
+  explicit NodeRetryBudget(Options options);
+
+  void OnFirstAttempt(state::Instant now);
+
+  /// Takes one retry; false if the last 10 s have used up the budget.
+  bool TryRetry(state::Instant now);
+
+ private:
+  static constexpr std::size_t kBuckets = 10;
+  static constexpr state::Duration kBucketTime = std::chrono::seconds(1);
+  struct Bucket {
+    std::int64_t second = -1;
+    std::uint64_t first_attempts = 0;
+    std::uint64_t retries = 0;
+  };
+
+  Bucket& BucketAt(state::Instant now);
+
+  Options options_;
+  std::array<Bucket, kBuckets> buckets_;
+};
+
+/// An attempt that failed.
+struct FailedAttempt {
+  state::ResultCode result = state::ResultCode::kOk;
+  /// As reported for this attempt.
+  state::RunState run_state = state::RunState::kUnknown;
+  /// The request may run more than once, or its idempotency key makes the
+  /// executor run it once. In the latter case the retry goes to that executor.
+  bool repeatable = false;
+  /// Another server could take the call.
+  bool others_available = false;
+  /// Attempts of this call made by this node so far, at least 1.
+  std::uint32_t attempts = 1;
+  /// What remains in the ledger for the call.
+  std::uint32_t allotment = 0;
+  state::Instant deadline{};
+};
+
+enum class RetryVerdict : std::uint8_t {
+  kRetry,
+  /// The result is final: answered, a bad request, or cancelled.
+  kFinal,
+  /// It may have run and must not run twice.
+  kMayHaveRun,
+  kAllotmentSpent,
+  kNoTime,
+  kNodeBudgetSpent,
+};
+
+/// "retry", "final", ...
+std::string_view ToString(RetryVerdict verdict);
+
+struct RetryDecision {
+  RetryVerdict verdict = RetryVerdict::kFinal;
+  /// Wait before the retry; leaves at least half of the remaining time.
+  state::Duration delay{0};
+
+  auto operator<=>(const RetryDecision&) const = default;
+};
+
+/// Constants of the backoff.
+struct RetryPolicy {
+  /// The k-th wait is drawn from [1/2, 1] x min(base x 2^(k-1), maximum).
+  state::Duration backoff_base = std::chrono::milliseconds(10);
+  state::Duration backoff_max = std::chrono::milliseconds(250);
+  /// No retry with less time than this: it could not be answered in time.
+  state::Duration min_remaining = std::chrono::milliseconds(2);
+};
+
+/// Decides whether to retry. Takes one from \p budget only if the verdict is
+/// kRetry; the caller then takes one from the ledger with Retry.
+RetryDecision DecideRetry(const FailedAttempt& failed,
+                          const RetryPolicy& policy,
+                          NodeRetryBudget& budget,
+                          state::Instant now,
+                          std::mt19937_64& rng);
+
+}  // namespace sesamespread::coordination
+
+#endif  // SESAMESPREAD_COORDINATION_RETRY_BUDGET_H_
