Declare the overload decisions of the coordination layer

Cause: the node runtime and the router need the interfaces of admission, shedding and the concurrency limit before their logic is complete. Conclusion: other modules can be written against them.

--- /dev/null
+++ b/include/sesamespread/coordination/concurrency_limiter.h
@@ -0,0 +1,147 @@
+/// \file
+/// The limit of requests in progress at the local backend server.
+///
+/// A gradient on the server's own latency against a tracked baseline, where
+/// each reduction is a trial: it is kept only if it lowers the latency.
+/// docs/notes/concurrency-limit.md compares it with the alternatives.
+#ifndef SESAMESPREAD_COORDINATION_CONCURRENCY_LIMITER_H_
+#define SESAMESPREAD_COORDINATION_CONCURRENCY_LIMITER_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+#include "sesamespread/state/inventory.h"
+#include "sesamespread/state/time.h"
+
+namespace sesamespread::coordination {
+
+/// Number of values of state::Importance.
+constexpr std::size_t kImportanceCount = 3;
+
+/// How a request in progress ended.
+enum class RequestOutcome : std::uint8_t {
+  /// The backend server answered completely.
+  kAnswered,
+  /// The deadline passed first; the time taken is a lower bound.
+  kTimedOut,
+  /// Anything else, such as a cancellation, a lost connection or an error
+  /// answer; the time taken says nothing about the service time.
+  kFailed,
+};
+
+/// What was measured of a request that has ended.
+struct RequestTiming {
+  /// From the start at the backend server to the end.
+  state::Duration total{0};
+  /// Part of total in which at least one sub-call was pending; parallel
+  /// sub-calls count once.
+  state::Duration downstream_wait{0};
+  RequestOutcome outcome = RequestOutcome::kAnswered;
+
+  auto operator<=>(const RequestTiming&) const = default;
+};
+
+struct ConcurrencyLimiterOptions {
+  /// Upper bound of the limit; at least 1.
+  std::uint32_t slots = 1;
+  /// Duration of the ramp of a new backend server; zero for no ramp.
+  state::Duration cold_start{0};
+  /// Limit at the start of the ramp; zero for a sixteenth of the slots.
+  std::uint32_t initial_limit = 0;
+  /// Shortest time between two changes of the limit.
+  state::Duration window = std::chrono::milliseconds(100);
+  /// Latency divided by baseline above which the limit is reduced.
+  double tolerance = 1.5;
+  /// Added to latency and baseline before they are compared, so that
+  /// scheduling jitter of very short requests is not taken for overload.
+  state::Duration slack = std::chrono::milliseconds(2);
+  /// Time constant with which the baseline rises while the limit is not
+  /// reached. It falls within a few windows.
+  state::Duration baseline_rise = std::chrono::seconds(10);
+};
+
+/// Adapts the limit between 1 and the slots. O(1) per request.
+class ConcurrencyLimiter {
+ public:
+  /// \pre options.slots and options.window are above zero.
+  ConcurrencyLimiter(const ConcurrencyLimiterOptions& options,
+                     state::Instant now);
+
+  /// The limit in force; 1..slots.
+  std::uint32_t limit() const;
+
+  /// Records that a request had to wait because the limit was reached. The
+  /// limit rises only in windows in which this happened.
+  void OnLimitReached() { limit_reached_ = true; }
+
+  /// Records a request that has ended.
+  void OnFinish(const RequestTiming& timing,
+                state::Importance importance,
+                state::Instant now);
+
+  /// Closes windows and advances the ramp. May be called at any rate.
+  void Tick(state::Instant now);
+
+  /// The tracked latency of \p importance without queueing; zero if none was
+  /// measured yet.
+  state::Duration baseline(state::Importance importance) const;
+
+ private:
+  // Samples of one importance in the current window; sums of log2 of
+  // microseconds.
+  struct ClassWindow {
+    std::uint32_t answered = 0;
+    double answered_sum = 0;
+  };
+  // A reduction whose effect is not known yet.
+  struct Trial {
+    state::Instant start;
+    double limit_before;
+    // log2 of latency over baseline before the reduction.
+    double excess_before;
+    // Without enough samples by then, the limit is restored.
+    state::Instant give_up;
+  };
+
+  std::uint32_t SamplesNeeded() const;
+  void CloseWindow(state::Instant now);
+  void UpdateBaselines(state::Duration elapsed);
+  // True if the trial failed and the limit was restored.
+  bool EndTrial(double excess);
+  void StartTrial(double excess, double over, state::Instant now);
+  void Raise();
+  void AdvanceRamp(state::Instant now);
+  void ResetWindow(state::Instant now);
+
+  ConcurrencyLimiterOptions options_;
+  // 1..slots; the limit in force is also bounded by ramp_limit_.
+  double limit_;
+  // Doubles during the cold start; slots afterwards.
+  double ramp_limit_;
+  state::Duration ramp_step_{0};
+  state::Instant ramp_next_;
+  // True if latency was too high in the current step of the ramp.
+  bool ramp_held_ = false;
+
+  // log2 of microseconds, slack included; nullopt until measured.
+  std::array<std::optional<double>, kImportanceCount> baseline_;
+  // log2 of a slowdown that fewer requests in progress do not remedy; >= 0.
+  double slowdown_ = 0;
+  std::optional<Trial> trial_;
+  // Consecutive raises since the last reduction; each doubles the step.
+  std::uint32_t raises_ = 0;
+
+  state::Instant window_start_;
+  std::array<ClassWindow, kImportanceCount> window_{};
+  // Sum of log2 of latency over baseline, and number of samples in it.
+  double excess_sum_ = 0;
+  std::uint32_t samples_ = 0;
+  double latency_sum_us_ = 0;
+  bool limit_reached_ = false;
+};
+
+}  // namespace sesamespread::coordination
+
+#endif  // SESAMESPREAD_COORDINATION_CONCURRENCY_LIMITER_H_
