--- /dev/null
+++ b/lib/transport/call_dispatcher.cc
@@ -0,0 +1,380 @@
+/// \file
+/// Sends calls to backend servers and decides about retries.
+#include "sesamespread/transport/call_dispatcher.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace sesamespread::transport {
+namespace {
+
+using state::ResultCode;
+using state::RunState;
+
+// How long a call waits for the first list of servers of its service.
+constexpr state::Duration kServersTimeout = std::chrono::milliseconds(200);
+
+// Calls that may wait for it, per service.
+constexpr std::size_t kMaxWaiting = 1024;
+
+// A lost link or a timeout means that no answer will come; every other result
+// was reported by the executing node or stands for a call that was not sent.
+bool IsLost(const protocol::CallAnswer& answer) {
+  return answer.run_state != RunState::kNotRun &&
+         (answer.result == ResultCode::kLinkLost ||
+          answer.result == ResultCode::kTimedOut ||
+          answer.result == ResultCode::kDigestMismatch);
+}
+
+bool SaysNothingOfServer(ResultCode code) {
+  return code == ResultCode::kCancelled || code == ResultCode::kExecutorGone ||
+         code == ResultCode::kInProgress || code == ResultCode::kKeyReused ||
+         code == ResultCode::kMalformedKey || code == ResultCode::kKeyExpired ||
+         code == ResultCode::kDeadlineBeforeStart;
+}
+
+bool IsFailure(ResultCode code) {
+  return code == ResultCode::kLinkLost || code == ResultCode::kTimedOut ||
+         code == ResultCode::kConnectFailed ||
+         code == ResultCode::kTruncatedAnswer ||
+         code == ResultCode::kBadBackendAnswer ||
+         code == ResultCode::kDigestMismatch;
+}
+
+}  // namespace
+
+CallDispatcher::CallDispatcher(boost::asio::io_context& context,
+                               DeadlineQueue& deadlines,
+                               state::NodeId self,
+                               const std::string& zone,
+                               CallExecutor& local,
+                               OutboundCalls& outbound,
+                               Metrics& metrics,
+                               Subscribe subscribe)
+    : context_(context),
+      deadlines_(deadlines),
+      self_(self),
+      local_(local),
+      outbound_(outbound),
+      metrics_(metrics),
+      subscribe_(std::move(subscribe)),
+      random_(std::random_device()()),
+      configuration_(std::make_shared<const state::Configuration>()),
+      router_(self, zone) {}
+
+CallDispatcher::~CallDispatcher() {
+  *alive_ = false;
+}
+
+void CallDispatcher::SetConfiguration(
+    std::shared_ptr<const state::Configuration> configuration) {
+  configuration_ = std::move(configuration);
+  std::map<std::string, std::string> regions;
+  for (const auto& [name, zone] : configuration_->zones())
+    regions.emplace(name, zone.region);
+  router_.SetZones(std::move(regions));
+  for (auto& [service, state] : services_) {
+    if (state.known)
+      router_.SetServers(service, state.servers, ShapeOf(service), Now());
+  }
+}
+
+void CallDispatcher::SetServers(const std::string& service,
+                                std::vector<state::NodeRecord> servers) {
+  ServiceState& state = services_[service];
+  state.known = true;
+  state.servers = std::move(servers);
+  router_.SetServers(service, state.servers, ShapeOf(service), Now());
+  for (auto& ready : std::exchange(state.waiting, {}))
+    ready();
+}
+
+void CallDispatcher::OnLeaveNotice(state::NodeId node,
+                                   state::Incarnation incarnation) {
+  for (auto& [service, state] : services_) {
+    for (state::NodeRecord& record : state.servers) {
+      if (record.node != node || record.incarnation != incarnation)
+        continue;
+      record.backend_state = state::BackendState::kLeaving;
+      router_.SetServers(service, state.servers, ShapeOf(service), Now());
+    }
+  }
+}
+
+void CallDispatcher::WhenServersKnown(const std::string& service,
+                                      std::function<void()> ready) {
+  ServiceState& state = services_[service];
+  if (!std::exchange(state.subscribed, true))
+    subscribe_(service);
+  if (state.known || state.waiting.size() >= kMaxWaiting) {
+    ready();
+    return;
+  }
+  auto once = std::make_shared<std::function<void()>>(std::move(ready));
+  auto run = [once] {
+    if (*once)
+      std::exchange(*once, nullptr)();
+  };
+  state.waiting.push_back(run);
+  deadlines_.Schedule(Now() + kServersTimeout, run);
+}
+
+CallDispatcher::Handle CallDispatcher::Dispatch(DispatchOrder order,
+                                                AnswerCallback done) {
+  const Handle handle = next_handle_++;
+  Call& call = calls_[handle];
+  const std::string service = order.request.service;
+  call.order = std::move(order);
+  call.done = std::move(done);
+  const state::Instant now = Now();
+  call.attempt = call.order.ledger->Reserve(call.order.ticket, now);
+  retry_budget_.OnFirstAttempt(now);
+  WhenServersKnown(service, [this, handle, alive = alive_] {
+    if (*alive)
+      StartAttempt(handle);
+  });
+  return handle;
+}
+
+void CallDispatcher::Cancel(Handle handle) {
+  const auto found = calls_.find(handle);
+  if (found == calls_.end())
+    return;
+  Call& call = found->second;
+  if (call.sending) {
+    if (call.local)
+      local_.Cancel(call.handle);
+    else
+      outbound_.Cancel(call.handle);
+    router_.OnCancelled(call.node);
+  }
+  deadlines_.Cancel(call.retry_id);
+  call.order.ledger->Finish(call.attempt.id);
+  calls_.erase(found);
+}
+
+std::optional<state::NodeIncarnation> CallDispatcher::ChooseExecutor(
+    const std::string& service) {
+  const auto choice = router_.Choose(service, Now(), random_, {});
+  if (!choice)
+    return std::nullopt;
+  return state::NodeIncarnation{choice->node, choice->incarnation};
+}
+
+std::vector<protocol::ServiceThreshold> CallDispatcher::ThresholdsBelow(
+    const std::string& service) {
+  std::vector<protocol::ServiceThreshold> thresholds;
+  const state::Instant now = Now();
+  for (const std::string& below : configuration_->ServicesBelow(service)) {
+    const std::uint32_t threshold = thresholds_.EntryThreshold(below, now);
+    if (threshold < state::kPriorityCount)
+      thresholds.push_back({below, threshold});
+  }
+  return thresholds;
+}
+
+void CallDispatcher::StartAttempt(Handle handle) {
+  const auto found = calls_.find(handle);
+  if (found == calls_.end())
+    return;
+  Call& call = found->second;
+  call.retry_id = 0;
+  ++call.attempts;
+  if (Now() >= call.order.deadline) {
+    FailLater(handle, ResultCode::kDeadlineBeforeStart, RunState::kNotRun,
+              "the deadline passed before the call was sent");
+    return;
+  }
+  const state::NodeRecord* record = nullptr;
+  if (!ChooseNode(call, &record)) {
+    if (call.order.target)
+      FailLater(handle, ResultCode::kExecutorGone, RunState::kUnknown,
+                "the node that the key is bound to is not known");
+    else
+      FailLater(handle, ResultCode::kNoBackendServer, RunState::kNotRun,
+                "no backend server of the service is known");
+    return;
+  }
+  Send(handle, call, *record);
+}
+
+bool CallDispatcher::ChooseNode(Call& call, const state::NodeRecord** record) {
+  const std::string& service = call.order.request.service;
+  if (call.order.target) {
+    *record = FindServer(service, call.order.target->node);
+    return *record != nullptr &&
+           (*record)->incarnation == call.order.target->incarnation;
+  }
+  auto choice = router_.Choose(service, Now(), random_, call.tried);
+  if (!choice)
+    choice = router_.Choose(service, Now(), random_, {});
+  if (!choice)
+    return false;
+  call.others_available = choice->others_available;
+  *record = FindServer(service, choice->node);
+  return *record != nullptr;
+}
+
+const state::NodeRecord* CallDispatcher::FindServer(const std::string& service,
+                                                    state::NodeId node) const {
+  const auto found = services_.find(service);
+  if (found == services_.end())
+    return nullptr;
+  for (const state::NodeRecord& record : found->second.servers) {
+    if (record.node == node)
+      return &record;
+  }
+  return nullptr;
+}
+
+void CallDispatcher::Send(Handle handle,
+                          Call& call,
+                          const state::NodeRecord& record) {
+  call.node = record.node;
+  call.local = record.node == self_;
+  call.sent = Now();
+  call.sending = true;
+  call.tried.push_back(record.node);
+  router_.OnSent(record.node, call.sent);
+  protocol::CallRequest request = call.order.request;
+  request.allotment = call.attempt.allotment;
+  request.remaining = call.order.deadline - call.sent;
+  request.configuration_version = configuration_->version();
+  request.target_incarnation =
+      call.order.target ? call.order.target->incarnation : 0;
+  auto done = [this, handle, alive = alive_](protocol::CallAnswer answer) {
+    if (*alive)
+      OnAnswer(handle, std::move(answer));
+  };
+  if (call.local)
+    call.handle = local_.Execute(std::move(request), call.order.deadline, done);
+  else
+    call.handle = outbound_.Call(record.node, record.peer, std::move(request),
+                                 call.order.deadline,
+                                 configuration_->limits().max_answer_bytes,
+                                 done);
+}
+
+void CallDispatcher::OnAnswer(Handle handle, protocol::CallAnswer answer) {
+  const auto found = calls_.find(handle);
+  if (found == calls_.end())
+    return;
+  Call& call = found->second;
+  call.sending = false;
+  Measure(call, answer);
+  Settle(call, answer);
+  if (answer.run_state != RunState::kNotRun)
+    call.may_have_run = true;
+  if (Retry(handle, call, answer))
+    return;
+  Finish(handle, std::move(answer));
+}
+
+void CallDispatcher::Measure(const Call& call,
+                             const protocol::CallAnswer& answer) {
+  const state::Instant now = Now();
+  for (const protocol::ServiceThreshold& threshold : answer.thresholds)
+    thresholds_.Observe(threshold.service, call.node, threshold.threshold, now);
+  if (SaysNothingOfServer(answer.result)) {
+    router_.OnCancelled(call.node);
+    return;
+  }
+  if (IsFailure(answer.result)) {
+    router_.OnFailed(call.node, answer.result, now);
+    return;
+  }
+  const coordination::LoadHint hint{
+      answer.in_progress, answer.limit,
+      answer.thresholds.empty() ? state::kPriorityCount
+                                : answer.thresholds.back().threshold,
+      answer.backend_state};
+  router_.OnAnswered(call.node, answer.result, now - call.sent, hint, now);
+  if (answer.result == ResultCode::kLeaving) {
+    if (const state::NodeRecord* record =
+            FindServer(call.order.request.service, call.node))
+      OnLeaveNotice(call.node, record->incarnation);
+  }
+}
+
+void CallDispatcher::Settle(Call& call, const protocol::CallAnswer& answer) {
+  if (IsLost(answer))
+    call.order.ledger->Lose(call.attempt.id);
+  else
+    call.order.ledger->Settle(call.attempt.id, answer.unused_allotment);
+}
+
+bool CallDispatcher::Retry(Handle handle,
+                           Call& call,
+                           const protocol::CallAnswer& answer) {
+  coordination::FailedAttempt failed;
+  failed.result = answer.result;
+  failed.run_state = answer.run_state;
+  failed.repeatable = call.order.request.repeatable || call.order.target;
+  failed.others_available = call.others_available && !call.order.target;
+  failed.attempts = call.attempts;
+  failed.allotment = call.order.ledger->Remaining(call.order.ticket);
+  failed.deadline = call.order.deadline;
+  const state::Instant now = Now();
+  const coordination::RetryDecision decision = coordination::DecideRetry(
+      failed, coordination::RetryPolicy(), retry_budget_, now, random_);
+  if (decision.verdict != coordination::RetryVerdict::kRetry)
+    return false;
+  const auto next = call.order.ledger->Retry(call.attempt.id, now);
+  if (!next)
+    return false;
+  call.attempt = *next;
+  metrics_.CountRetry(call.order.request.service);
+  call.retry_id = deadlines_.Schedule(now + decision.delay, [this, handle] {
+    StartAttempt(handle);
+  });
+  return true;
+}
+
+void CallDispatcher::FailLater(Handle handle,
+                               ResultCode code,
+                               RunState run_state,
+                               const std::string& detail) {
+  boost::asio::post(context_, [this, handle, code, run_state, detail,
+                               alive = alive_] {
+    if (!*alive)
+      return;
+    const auto found = calls_.find(handle);
+    if (found == calls_.end())
+      return;
+    protocol::CallRequest request = found->second.order.request;
+    request.allotment = found->second.attempt.allotment;
+    protocol::CallAnswer answer = FailedAnswer(request, code, run_state, detail);
+    found->second.order.ledger->Settle(found->second.attempt.id,
+                                       answer.unused_allotment);
+    Finish(handle, std::move(answer));
+  });
+}
+
+void CallDispatcher::Finish(Handle handle, protocol::CallAnswer answer) {
+  auto node = calls_.extract(handle);
+  Call& call = node.mapped();
+  call.order.ledger->Finish(call.attempt.id);
+  // `not_run` speaks of all attempts, not only of the last one.
+  if (call.may_have_run && answer.run_state == RunState::kNotRun)
+    answer.run_state = RunState::kUnknown;
+  call.done(std::move(answer));
+}
+
+coordination::ServiceShape CallDispatcher::ShapeOf(
+    const std::string& service) const {
+  coordination::ServiceShape shape;
+  const state::Service* found = configuration_->FindService(service);
+  if (!found)
+    return shape;
+  shape.connections = found->connections;
+  // One link per calling node; the nodes of the services that call this one,
+  // and those through which callers enter.
+  std::size_t callers = 1;
+  for (const auto& [name, state] : services_)
+    callers += state.servers.size();
+  shape.calling_nodes = static_cast<std::uint32_t>(callers);
+  return shape;
+}
+
+}  // namespace sesamespread::transport
