--- /dev/null
+++ b/include/sesamespread/coordination/membership.h
@@ -0,0 +1,386 @@
+/// \file
+/// Membership by gossip: which nodes exist, what their backend servers do, and
+/// which zones are lost. Pure logic; the caller sends the datagrams.
+#ifndef SESAMESPREAD_COORDINATION_MEMBERSHIP_H_
+#define SESAMESPREAD_COORDINATION_MEMBERSHIP_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "sesamespread/coordination/gossip.h"
+#include "sesamespread/coordination/node_table.h"
+#include "sesamespread/state/ids.h"
+#include "sesamespread/state/node_record.h"
+#include "sesamespread/state/time.h"
+
+namespace sesamespread::coordination {
+
+/// An incarnation whose order is known: milliseconds since 1970 in the upper 42
+/// bits, \p random in the lower 22. Only incarnations of the same node are
+/// compared, so only one host's clock has to go forward between two starts. If
+/// it did not, kSuperseded tells the node, which then takes an incarnation from
+/// IncarnationAfter.
+state::Incarnation MakeIncarnation(state::WallTime start, std::uint64_t random);
+
+/// An incarnation that is newer than \p seen.
+state::Incarnation IncarnationAfter(state::Incarnation seen,
+                                    std::uint64_t random);
+
+/// True if \p a replaces \p b, a record of the same node: a newer incarnation,
+/// then a higher sequence, then dead before suspect before alive.
+bool IsNewer(const state::NodeRecord& a, const state::NodeRecord& b);
+
+/// Limits and timers of Membership.
+struct MembershipOptions {
+  state::Duration probe_interval = std::chrono::seconds(1);
+  /// Above the round trip between the farthest regions (about 300 ms).
+  state::Duration ack_timeout = std::chrono::milliseconds(500);
+  std::size_t indirect_probes = 3;
+  /// Time to refute a suspicion: this for each doubling of the member count,
+  /// since both the suspicion and its refutation travel by gossip.
+  state::Duration suspect_time_per_doubling = std::chrono::milliseconds(800);
+  state::Duration min_suspect_time = std::chrono::seconds(4);
+  /// A dead record is forgotten after this time. It is above the time between
+  /// two pulls of all records, so that a stale copy can't revive it.
+  state::Duration dead_retention = std::chrono::minutes(90);
+  /// Nothing heard for this long: isolated.
+  state::Duration isolation_time = std::chrono::seconds(5);
+  /// A longer time between two calls means that this process was paused.
+  state::Duration pause_threshold = std::chrono::milliseconds(1500);
+  /// Between probes of a node found dead, so that two sides of a healed
+  /// partition find each other again.
+  state::Duration dead_probe_interval = std::chrono::seconds(5);
+  /// Between pulls of all records, to repair what gossip has missed.
+  state::Duration records_pull_interval = std::chrono::hours(1);
+  /// An update is sent at most this often per doubling of the member count.
+  double transmissions_per_doubling = 3.0;
+  /// Urgent updates and new configuration versions go to this many random nodes
+  /// at once, twice.
+  std::size_t push_fanout = 4;
+  state::Duration push_repeat = std::chrono::milliseconds(400);
+  /// Nodes of a zone that are probed when one of them fails.
+  std::size_t zone_sample = 8;
+  /// A smaller sample says nothing of a zone.
+  std::size_t min_zone_sample = 3;
+  /// No new loss of a zone is reported for this long after its recovery.
+  state::Duration zone_hold_down = std::chrono::seconds(15);
+  /// Between two checks of a zone by one node.
+  state::Duration zone_check_interval = std::chrono::seconds(5);
+  /// Bytes sent and received, headers included. Below the 19 KB/s of a node by
+  /// what configuration pulls need.
+  double bytes_per_second = 17'000;
+  double burst_bytes = 8'000;
+  std::size_t max_queued_updates = 512;
+  std::size_t max_members = 60'000;
+};
+
+/// A datagram to send.
+struct OutgoingGossip {
+  state::Endpoint to;
+  GossipMessage message;
+};
+
+/// What happened, in order.
+struct MembershipEvent {
+  enum class Kind : std::uint8_t {
+    /// `record` is new or has changed.
+    kRecordChanged,
+    /// `record` has been forgotten.
+    kRecordForgotten,
+    /// Most nodes of `zone` are lost; those nodes are no longer live.
+    kZoneLost,
+    kZoneRecovered,
+    /// All zones of the region named by `zone` are lost, as in a partition.
+    kRegionUnreachable,
+    kRegionReachable,
+    kIsolated,
+    kNotIsolated,
+    /// `record` shows a configuration with `version` and `digest` that is newer
+    /// than ours, or has our version with another digest.
+    kNewerConfiguration,
+    /// All records should be pulled from `record` over TCP; see
+    /// Membership::ApplyRecords.
+    kPullRecords,
+    /// A newer incarnation of this node exists (`record`): the host's clock
+    /// went backwards, or another process has this node's name.
+    kSuperseded,
+  };
+
+  Kind kind = Kind::kRecordChanged;
+  state::NodeRecord record;
+  std::string zone;
+  state::ConfigurationVersion version = 0;
+  std::uint64_t digest = 0;
+};
+
+/// Counters since the start.
+struct MembershipCounters {
+  std::uint64_t datagrams_sent = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t datagrams_received = 0;
+  std::uint64_t bytes_received = 0;
+  /// Datagrams not sent because the byte budget was used up.
+  std::uint64_t over_budget = 0;
+  std::uint64_t suspicions = 0;
+  std::uint64_t deaths = 0;
+  std::uint64_t refutations = 0;
+  /// Times that this process found that it had been paused.
+  std::uint64_t pauses = 0;
+  /// Records refused: malformed, or above max_members.
+  std::uint64_t refused = 0;
+};
+
+/// The membership as one node sees it. Not thread-safe; all calls are made by
+/// the control thread, with a `now` that never goes backwards. After each call,
+/// TakeDatagrams and TakeEvents return what has to be done.
+class Membership {
+ public:
+  /// \p own is this node's record; liveness and sequence are set here.
+  /// \p seeds are gossip endpoints of other nodes.
+  /// \throws std::invalid_argument if \p own has no name or an address that is
+  /// not numeric.
+  Membership(state::NodeRecord own,
+             std::vector<state::Endpoint> seeds,
+             const MembershipOptions& options,
+             std::mt19937_64 random,
+             state::Instant now);
+
+  /// To be called every 100 ms.
+  void Tick(state::Instant now);
+
+  /// \p bytes is the size of the datagram without headers.
+  void Receive(const GossipMessage& message,
+               std::size_t bytes,
+               state::Instant now);
+
+  /// Applies records pulled over TCP. They are not spread further.
+  void ApplyRecords(const std::vector<state::NodeRecord>& records,
+                    state::Instant now);
+
+  /// Changes the own record after the backend server announced itself, started,
+  /// serves, leaves or is absent. Leaving is pushed at once.
+  void SetBackend(std::string_view service,
+                  state::BackendState backend_state,
+                  state::Instant now);
+
+  /// Tells the others that this process ends, so that nobody has to suspect it.
+  void AnnounceDeparture(state::Instant now);
+
+  /// The configuration in force here, shown in each datagram; a higher version
+  /// is pushed at once.
+  void SetConfiguration(state::ConfigurationVersion version,
+                        std::uint64_t digest,
+                        state::Instant now);
+
+  /// Region of each zone; needed only for kRegionUnreachable.
+  void SetRegions(std::map<std::string, std::string, std::less<>> region_of);
+
+  std::vector<OutgoingGossip> TakeDatagrams();
+  std::vector<MembershipEvent> TakeEvents();
+
+  const state::NodeRecord& own() const { return own_; }
+  bool isolated() const { return isolated_; }
+  /// Records known, the own one included.
+  std::size_t size() const { return table_.size(); }
+  std::optional<state::NodeRecord> Find(state::NodeId node) const;
+
+  /// True if \p node is alive or suspect and its zone is not lost, or if it has
+  /// been heard since the loss of its zone.
+  bool IsLive(state::NodeId node) const;
+  bool IsZoneLost(std::string_view zone) const;
+  bool IsRegionUnreachable(std::string_view region) const;
+
+  /// Calls \p visit with each record and whether it is live.
+  void ForEach(
+      const std::function<void(const state::NodeRecord&, bool)>& visit) const;
+
+  /// Live nodes of \p zone, in no particular order.
+  std::vector<state::NodeId> LiveNodesIn(std::string_view zone) const;
+
+  /// Live nodes whose backend server belongs to \p service.
+  std::vector<state::NodeRecord> ServersOf(std::string_view service) const;
+
+  /// Answers NodeRecordsPull: up to \p max_bytes of records that are not dead,
+  /// from position \p from_index of this node's table. *next_index equals
+  /// *total at the end.
+  std::vector<state::NodeRecord> RecordsFrom(std::uint32_t from_index,
+                                             std::size_t max_bytes,
+                                             std::uint32_t* next_index,
+                                             std::uint32_t* total) const;
+
+  const MembershipCounters& counters() const { return counters_; }
+
+ private:
+  using Slot = NodeTable::Slot;
+
+  // A datagram that waits for its ack.
+  struct Pending {
+    enum class Kind : std::uint8_t { kDirect, kIndirect, kZoneCheck, kRelay };
+    Kind kind = Kind::kDirect;
+    state::NodeId node = 0;
+    state::Instant sent{};
+    state::Instant deadline{};
+    // For kZoneCheck.
+    std::uint16_t zone = 0;
+    // For kRelay: who asked for the probe, and with which token.
+    state::Endpoint asker;
+    std::uint64_t asker_token = 0;
+  };
+
+  // Sample of a zone's nodes, taken after one of them failed or to find out
+  // whether the zone has recovered.
+  struct ZoneCheck {
+    bool active = false;
+    std::uint32_t asked = 0;
+    std::uint32_t acked = 0;
+    std::uint32_t open = 0;
+    // Nodes whose suspicion waits for the result.
+    std::vector<state::NodeId> failed;
+  };
+
+  struct ZoneState {
+    bool lost = false;
+    std::uint32_t sequence = 0;
+    // Times that the zone's record has been sent since it changed; spread_ is
+    // false if there is nothing to send.
+    std::uint32_t transmissions = 0;
+    bool spread = false;
+    state::Instant hold_down_until{};
+    state::Instant next_check{};
+    ZoneCheck check;
+  };
+
+  struct Update {
+    state::NodeId node = 0;
+    std::uint32_t transmissions = 0;
+    bool urgent = false;
+  };
+
+  // Bytes that may be sent now. Received bytes are taken from it too.
+  struct ByteBudget {
+    double tokens = 0;
+    state::Instant refilled{};
+  };
+
+  void NoteTime(state::Instant now);
+  void RestartTimers(state::Instant now);
+  void ExpirePending(state::Instant now);
+  void ExpireSuspects(state::Instant now);
+  void ForgetDead(state::Instant now);
+  void UpdateIsolation(state::Instant now);
+  void ProbeNext(state::Instant now);
+  void ProbeDead(state::Instant now);
+  void ContactSeeds(state::Instant now);
+  void SendPushes(state::Instant now);
+  void CheckOwnZone(state::Instant now);
+
+  void HandleAck(const GossipMessage& message, state::Instant now);
+  void HandleFailure(state::NodeId node, state::Instant now);
+  void RelayProbe(const GossipMessage& message, state::Instant now);
+  void SendIndirectProbes(std::uint64_t token,
+                          const Pending& pending,
+                          state::Instant now);
+
+  bool Apply(const state::NodeRecord& record, bool spread, state::Instant now);
+  void ApplyToOwn(const state::NodeRecord& record, state::Instant now);
+  void Suspect(Slot slot, state::Instant now);
+  void Bury(Slot slot, state::Instant now);
+  void TrackLiveness(Slot slot, state::Instant now);
+  void OwnChanged(bool urgent, state::Instant now);
+
+  void StartZoneCheck(std::uint16_t zone, state::Instant now);
+  void FinishZoneCheck(std::uint16_t zone, state::Instant now);
+  void ApplyZone(const ZoneRecord& record, state::Instant now);
+  void SetZone(std::uint16_t zone,
+               bool lost,
+               std::uint32_t sequence,
+               state::Instant now);
+  void UpdateRegions();
+  ZoneState& Zone(std::uint16_t zone);
+  bool IsZoneLost(std::uint16_t zone) const;
+
+  std::uint64_t SendProbe(Pending pending,
+                          const state::Endpoint& to,
+                          const state::NodeRecord* first_update,
+                          state::Instant now);
+  // Sends a datagram with as many updates as fit. Essential ones (probes and
+  // acks) may overdraw the budget, without updates, so that load does not make
+  // nodes look dead.
+  bool Send(const state::Endpoint& to,
+            GossipMessage message,
+            bool essential,
+            const state::NodeRecord* first_update,
+            state::Instant now);
+  void AddUpdates(GossipMessage* message, std::size_t limit);
+  void AddZones(GossipMessage* message, std::size_t limit, std::size_t* bytes);
+  GossipMessage MakeMessage(GossipKind kind, std::uint64_t token) const;
+  void Enqueue(state::NodeId node, bool urgent);
+  void RequestPush(state::Instant now);
+  std::uint32_t MaxTransmissions() const;
+  state::Duration SuspectTime() const;
+  double Doublings() const;
+
+  bool IsLiveSlot(Slot slot) const;
+  std::optional<Slot> RandomLiveSlot();
+  std::vector<Slot> SampleZone(std::uint16_t zone, std::size_t count);
+  void Emit(MembershipEvent::Kind kind, Slot slot);
+  void Emit(MembershipEvent::Kind kind, std::string zone);
+
+  const MembershipOptions options_;
+  const std::vector<state::Endpoint> seeds_;
+  std::mt19937_64 random_;
+
+  // own_ is also in table_, so that it is answered to pulls.
+  state::NodeRecord own_;
+  bool departed_ = false;
+  NodeTable table_;
+  std::vector<ZoneState> zones_;
+  std::map<std::string, std::string, std::less<>> region_of_;
+  std::map<std::string, bool, std::less<>> unreachable_regions_;
+
+  // Slots in the order in which they are probed; reshuffled at the end.
+  std::vector<Slot> probe_order_;
+  std::size_t probe_position_ = 0;
+  state::Instant next_probe_{};
+  state::Instant next_dead_probe_{};
+  state::Instant next_seed_contact_{};
+  std::optional<state::Instant> next_records_pull_;
+  std::unordered_map<std::uint64_t, Pending> pending_;
+
+  // Deadlines of suspects, and when dead records are forgotten.
+  std::unordered_map<state::NodeId, state::Instant> suspects_;
+  std::unordered_map<state::NodeId, state::Instant> dead_;
+
+  std::vector<Update> updates_;
+  // Times at which the urgent updates are pushed, at most two.
+  std::vector<state::Instant> pushes_;
+
+  ByteBudget budget_;
+  state::Instant last_call_{};
+  state::Instant last_heard_{};
+  // When the last ack to a probe of our own arrived; shows that both directions
+  // work.
+  state::Instant last_ack_{};
+  bool isolated_ = false;
+  bool joined_ = false;
+
+  state::ConfigurationVersion configuration_version_ = 0;
+  std::uint64_t configuration_digest_ = 0;
+
+  std::vector<OutgoingGossip> outgoing_;
+  std::vector<MembershipEvent> events_;
+  MembershipCounters counters_;
+};
+
+}  // namespace sesamespread::coordination
+
+#endif  // SESAMESPREAD_COORDINATION_MEMBERSHIP_H_
--- a/include/sesamespread/protocol/codec.h
+++ b/include/sesamespread/protocol/codec.h
@@ -20,8 +20,7 @@
 /// Body bytes in one AnswerChunk, so that other calls interleave.
 constexpr std::size_t kChunkBytes = 64 << 10;
 
-/// Largest datagram: below the usual MTU, so that it is not fragmented.
-constexpr std::size_t kMaxDatagramBytes = 1400;
+using coordination::kMaxDatagramBytes;
 
 /// Bytes of the length field before each frame.
 constexpr std::size_t kFrameHeaderBytes = 4;
@@ -36,8 +35,8 @@
 /// buffer does not verify or a field is out of range.
 std::optional<PeerMessage> DecodePayload(std::span<const std::uint8_t> payload);
 
-/// The datagram of \p message. Updates that do not fit kMaxDatagramBytes are
-/// the sender's concern.
+/// The datagram of \p message, at most coordination::EncodedBytesBound. Updates
+/// that do not fit kMaxDatagramBytes are the sender's concern.
 std::string EncodeDatagram(const GossipMessage& message);
 
 /// The message in a datagram, or nullopt if it is not valid.
--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "sesamespread/coordination/gossip.h"
 #include "sesamespread/state/configuration.h"
 #include "sesamespread/state/ids.h"
 #include "sesamespread/state/inventory.h"
@@ -147,7 +148,8 @@
   auto operator<=>(const ConfigurationPush&) const = default;
 };
 
-/// Asks for node records from an index on, in order of node id.
+/// Asks for node records from an index on, in the order of the answering
+/// node's table, which does not change when records are added.
 struct NodeRecordsPull {
   std::uint32_t from_index = 0;
 
@@ -177,40 +179,10 @@
                                  NodeRecordsPull,
                                  NodeRecordsPush>;
 
-/// Loss of most nodes of an availability zone.
-struct ZoneRecord {
-  std::string zone;
-  bool lost = false;
-  std::uint32_t sequence = 0;
-
-  auto operator<=>(const ZoneRecord&) const = default;
-};
-
-/// Kinds of datagrams.
-enum class GossipKind : std::uint8_t {
-  kProbe = 0,
-  kProbeAck = 1,
-  /// Asks the receiver to probe `target` and to pass on its ack.
-  kIndirectProbe = 2,
-  /// A probe of a node that knows only its seeds.
-  kJoin = 3,
-};
-
-/// One datagram.
-struct GossipMessage {
-  GossipKind kind = GossipKind::kProbe;
-  /// Pairs an ack with its probe.
-  std::uint64_t token = 0;
-  state::NodeRecord from;
-  /// For kIndirectProbe only.
-  state::NodeRecord target;
-  state::ConfigurationVersion configuration_version = 0;
-  std::uint64_t configuration_digest = 0;
-  std::vector<state::NodeRecord> updates;
-  std::vector<ZoneRecord> zones;
-
-  auto operator<=>(const GossipMessage&) const = default;
-};
+/// The content of datagrams is defined where it is decided on.
+using coordination::GossipKind;
+using coordination::GossipMessage;
+using coordination::ZoneRecord;
 
 }  // namespace sesamespread::protocol
 
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -62,14 +62,16 @@
   return decoded;
 }
 
+// Zones, services and addresses repeat within a message and are written once.
 Offset<wire::NodeRecord> Encode(FlatBufferBuilder& builder,
                                 const state::NodeRecord& record) {
   return wire::CreateNodeRecord(
       builder, record.node, record.incarnation, record.sequence,
-      builder.CreateString(record.name), builder.CreateString(record.zone),
-      builder.CreateString(record.peer.address), record.peer.port,
-      builder.CreateString(record.gossip.address), record.gossip.port,
-      builder.CreateString(record.service),
+      builder.CreateString(record.name),
+      builder.CreateSharedString(record.zone),
+      builder.CreateSharedString(record.peer.address), record.peer.port,
+      builder.CreateSharedString(record.gossip.address), record.gossip.port,
+      builder.CreateSharedString(record.service),
       static_cast<std::uint8_t>(record.backend_state),
       static_cast<std::uint8_t>(record.liveness));
 }
