--- /dev/null
+++ b/lib/state/settings.cc
@@ -0,0 +1,245 @@
+/// \file
+/// Reads a node's settings; see inventory_file.cc for the inventory.
+#include "sesamespread/state/settings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+#include "yaml_check.h"
+
+namespace sesamespread::state {
+namespace {
+
+constexpr std::array<std::string_view, 3> kAdmissionNames = {"adaptive",
+                                                             "fixed", "none"};
+constexpr std::array<std::string_view, 4> kLogLevelNames = {"debug", "info",
+                                                            "warning", "error"};
+
+template <typename Enum, std::size_t N>
+Enum EnumOf(const std::array<std::string_view, N>& names,
+            std::string_view text) {
+  const auto found = std::find(names.begin(), names.end(), text);
+  // The text was checked against the same names, or is absent.
+  const auto index = found == names.end() ? 0 : found - names.begin();
+  return static_cast<Enum>(index);
+}
+
+// Reads the fields of one document, whose faults are already reported.
+class Reader {
+ public:
+  explicit Reader(const YAML::Node& root) : root_(root) {}
+
+  // The node of "listen.caller"; not defined if absent.
+  YAML::Node Find(const std::string& path) const {
+    const std::size_t dot = path.find('.');
+    if (dot == std::string::npos)
+      return root_[path];
+    const YAML::Node map = root_[path.substr(0, dot)];
+    if (!map || !map.IsMap())
+      return YAML::Node(YAML::NodeType::Undefined);
+    return map[path.substr(dot + 1)];
+  }
+
+  std::string Text(const std::string& path) const {
+    const SchemaRow& row = RowOf(NodeSettingsSchema(), path);
+    const std::size_t dot = path.find('.');
+    if (dot == std::string::npos)
+      return TextOr(root_, path.c_str(), row);
+    const YAML::Node map = root_[path.substr(0, dot)];
+    if (!map)
+      return std::string(row.fallback);
+    return TextOr(map, path.c_str() + dot + 1, row);
+  }
+
+  std::uint64_t Number(const std::string& path) const {
+    return ParseNumber(Text(path)).value_or(0);
+  }
+
+  std::uint32_t Count(const std::string& path) const {
+    return static_cast<std::uint32_t>(Number(path));
+  }
+
+  Duration Time(const std::string& path) const {
+    return ParseDuration(Text(path)).value_or(Duration(0));
+  }
+
+  Endpoint Address(const std::string& path) const {
+    Endpoint endpoint;
+    ParseEndpoint(Text(path), &endpoint);
+    return endpoint;
+  }
+
+ private:
+  YAML::Node root_;
+};
+
+bool IsLoopback(const std::string& address) {
+  return address == "::1" || address.compare(0, 4, "127.") == 0;
+}
+
+bool IsWildcard(const std::string& address) {
+  return address == "0.0.0.0" || address == "::";
+}
+
+NodeSettings ReadSettings(const Reader& reader) {
+  NodeSettings settings;
+  settings.name = reader.Text("name");
+  settings.availability_zone = reader.Text("availability_zone");
+  settings.listen = {
+      reader.Address("listen.caller"), reader.Address("listen.backend"),
+      reader.Address("listen.peer"), reader.Address("listen.gossip"),
+      reader.Address("listen.operator")};
+  settings.advertise = reader.Text("advertise");
+  if (settings.advertise.empty())
+    settings.advertise = settings.listen.peer.address;
+  settings.platform = {reader.Text("platform.url"),
+                       reader.Time("platform.timeout"),
+                       reader.Text("platform.token_file")};
+  settings.operators = {reader.Text("operator.token_file"),
+                        reader.Text("operator.certificate_file"),
+                        reader.Text("operator.key_file")};
+  settings.log_level =
+      EnumOf<LogLevel>(kLogLevelNames, reader.Text("log.level"));
+  settings.bounds = {reader.Count("bounds.max_connections"),
+                     reader.Count("bounds.max_requests_in_progress"),
+                     reader.Count("bounds.max_queued_requests"),
+                     reader.Number("bounds.max_buffered_bytes"),
+                     reader.Time("bounds.shutdown_timeout")};
+  settings.admission =
+      EnumOf<AdmissionMode>(kAdmissionNames, reader.Text("admission"));
+  return settings;
+}
+
+void ReadSeeds(const Reader& reader,
+               DiagnosticSink& sink,
+               NodeSettings* settings) {
+  const YAML::Node list = reader.Find("seeds");
+  if (!list || !list.IsSequence())
+    return;
+  for (const auto& item : list) {
+    Endpoint seed;
+    if (!item.IsScalar() || !ParseEndpoint(item.Scalar(), &seed))
+      continue;
+    if (seed.port == 0)
+      sink.Add(item.Mark(), "a seed needs a port other than 0");
+    settings->seeds.push_back(seed);
+  }
+}
+
+void CheckAddresses(const Reader& reader,
+                    const NodeSettings& settings,
+                    DiagnosticSink& sink) {
+  const std::string& backend = settings.listen.backend.address;
+  if (!backend.empty() && !IsLoopback(backend))
+    sink.Add(reader.Find("listen.backend").Mark(),
+             fmt::format("'{}' is not a loopback address: only the backend "
+                         "server on this host may use the port",
+                         backend));
+  if (!IsWildcard(settings.advertise))
+    return;
+  const YAML::Node advertise = reader.Find("advertise");
+  if (advertise) {
+    sink.Add(advertise.Mark(), "other nodes can't reach a wildcard address");
+    return;
+  }
+  sink.Add(reader.Find("listen.peer").Mark(),
+           "'advertise' is missing: other nodes can't reach a wildcard "
+           "address");
+}
+
+void CheckCertificate(const Reader& reader,
+                      const OperatorSettings& operators,
+                      DiagnosticSink& sink) {
+  if (operators.certificate_file.empty() == operators.key_file.empty())
+    return;
+  sink.Add(reader.Find("operator").Mark(),
+           "'certificate_file' and 'key_file' need each other");
+}
+
+void CheckZone(const Reader& reader,
+               const NodeSettings& settings,
+               std::span<const std::string> known_zones,
+               DiagnosticSink& sink) {
+  const std::string& zone = settings.availability_zone;
+  if (known_zones.empty() || zone.empty() ||
+      std::find(known_zones.begin(), known_zones.end(), zone) !=
+          known_zones.end())
+    return;
+  sink.Add(reader.Find("availability_zone").Mark(),
+           fmt::format("the inventory has no zone '{}'", zone),
+           NearestName(zone, known_zones));
+}
+
+std::string JoinLines(const std::vector<Diagnostic>& diagnostics) {
+  std::string text;
+  for (const Diagnostic& diagnostic : diagnostics)
+    text += (text.empty() ? "" : "\n") + ToString(diagnostic);
+  return text;
+}
+
+std::vector<Diagnostic> Sorted(std::vector<Diagnostic> diagnostics) {
+  std::sort(diagnostics.begin(), diagnostics.end());
+  return diagnostics;
+}
+
+}  // namespace
+
+std::string_view ToString(AdmissionMode mode) {
+  return kAdmissionNames.at(static_cast<std::size_t>(mode));
+}
+
+std::string_view ToString(LogLevel level) {
+  return kLogLevelNames.at(static_cast<std::size_t>(level));
+}
+
+ValidationError::ValidationError(ResultCode code,
+                                 std::vector<Diagnostic> diagnostics)
+    : Error(code, JoinLines(Sorted(diagnostics))),
+      diagnostics_(Sorted(std::move(diagnostics))) {}
+
+NodeSettings ParseNodeSettings(const SourceText& source,
+                               std::span<const std::string> known_zones) {
+  std::vector<Diagnostic> diagnostics;
+  DiagnosticSink sink(source.file, &diagnostics);
+  NodeSettings settings;
+  const auto document = CheckDocument(source, NodeSettingsSchema(), sink);
+  if (document) {
+    const Reader reader(*document);
+    settings = ReadSettings(reader);
+    ReadSeeds(reader, sink, &settings);
+    CheckAddresses(reader, settings, sink);
+    CheckCertificate(reader, settings.operators, sink);
+    CheckZone(reader, settings, known_zones, sink);
+  }
+  if (!diagnostics.empty())
+    throw ValidationError(ResultCode::kSettingsInvalid, std::move(diagnostics));
+  return settings;
+}
+
+bool ParseEndpoint(std::string_view text, Endpoint* endpoint) {
+  constexpr std::uint64_t kMaxPort = 65'535;
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return false;
+  std::string address(text.substr(0, colon));
+  const bool bracketed =
+      address.size() > 2 && address.front() == '[' && address.back() == ']';
+  if (bracketed)
+    address = address.substr(1, address.size() - 2);
+  const bool is_ipv6 = address.find(':') != std::string::npos;
+  const auto port = ParseNumber(text.substr(colon + 1));
+  if (bracketed != is_ipv6 || !IsAddress(address) || !port || *port > kMaxPort)
+    return false;
+  *endpoint = {std::move(address), static_cast<std::uint16_t>(*port)};
+  return true;
+}
+
+std::string ToString(const Endpoint& endpoint) {
+  const bool is_ipv6 = endpoint.address.find(':') != std::string::npos;
+  return is_ipv6 ? fmt::format("[{}]:{}", endpoint.address, endpoint.port)
+                 : fmt::format("{}:{}", endpoint.address, endpoint.port);
+}
+
+}  // namespace sesamespread::state
--- /dev/null
+++ b/lib/state/yaml_check.cc
@@ -0,0 +1,335 @@
+/// \file
+/// Checks a YAML document against a schema table.
+#include "yaml_check.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <set>
+
+namespace sesamespread::state {
+namespace {
+
+constexpr std::size_t kMaxNameLength = 63;
+constexpr std::size_t kMaxPathLength = 1024;
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+}
+
+bool IsPathCharacter(char c) {
+  // No quotes, backslashes, blanks or control characters, so that canonical
+  // text needs no escaping.
+  constexpr std::string_view kOthers = "/._~%+:@,;=!$&()*-";
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || kOthers.find(c) != std::string_view::npos;
+}
+
+std::vector<std::string> Split(std::string_view text, char separator) {
+  std::vector<std::string> parts;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(separator), text.size());
+    parts.emplace_back(text.substr(0, end));
+    text.remove_prefix(std::min(end + 1, text.size()));
+  }
+  return parts;
+}
+
+std::string NameFault(const SchemaRow& /*row*/, const std::string& text) {
+  if (text.empty() || text.size() > kMaxNameLength)
+    return fmt::format("a name has 1 to {} characters", kMaxNameLength);
+  if (!std::all_of(text.begin(), text.end(), IsNameCharacter) ||
+      text.front() == '-')
+    return fmt::format(
+        "'{}' is not a name: only a-z, 0-9 and '-', not starting with '-'",
+        text);
+  return {};
+}
+
+std::string TextFault(const SchemaRow& /*row*/, const std::string& text) {
+  return text.empty() ? "the text is empty" : "";
+}
+
+std::string NumberFault(const SchemaRow& row, const std::string& text) {
+  const auto number = ParseNumber(text);
+  if (!number)
+    return fmt::format("'{}' is not a decimal whole number", text);
+  if (*number < row.min || *number > row.max)
+    return fmt::format("{} is not in the range {} to {}", text, row.min,
+                       row.max);
+  return {};
+}
+
+std::string DurationFault(const SchemaRow& row, const std::string& text) {
+  if (ParseNumber(text))
+    return fmt::format("the duration '{}' has no unit: us, ms, s or m", text);
+  const auto duration = ParseDuration(text);
+  if (!duration)
+    return fmt::format(
+        "'{}' is not a duration: a whole number with us, ms, s or m, at most a "
+        "day",
+        text);
+  const auto count = static_cast<std::uint64_t>(duration->count());
+  if (count < row.min || count > row.max)
+    return fmt::format(
+        "{} is not in the range {} to {}", text,
+        FormatDuration(Duration(static_cast<std::int64_t>(row.min))),
+        FormatDuration(Duration(static_cast<std::int64_t>(row.max))));
+  return {};
+}
+
+std::string BooleanFault(const SchemaRow& /*row*/, const std::string& text) {
+  return text == "true" || text == "false"
+             ? ""
+             : fmt::format("'{}' is neither true nor false", text);
+}
+
+std::string ChoiceFault(const SchemaRow& row, const std::string& text) {
+  const auto choices = Split(row.choices, '|');
+  if (std::find(choices.begin(), choices.end(), text) != choices.end())
+    return {};
+  return fmt::format("'{}' is not one of {}", text, fmt::join(choices, ", "));
+}
+
+std::string AddressFault(const SchemaRow& /*row*/, const std::string& text) {
+  return IsAddress(text) ? "" : fmt::format("'{}' is not an IP address", text);
+}
+
+std::string EndpointFault(const SchemaRow& /*row*/, const std::string& text) {
+  Endpoint endpoint;
+  return ParseEndpoint(text, &endpoint)
+             ? ""
+             : fmt::format(
+                   "'{}' is not an IP address and port like "
+                   "127.0.0.1:80 or [::1]:80",
+                   text);
+}
+
+std::string UrlFault(const SchemaRow& /*row*/, const std::string& text) {
+  for (const std::string_view scheme : {"http://", "https://"}) {
+    if (text.size() > scheme.size() &&
+        text.compare(0, scheme.size(), scheme) == 0 &&
+        text.find_first_of(" \t\"\\") == std::string::npos)
+      return {};
+  }
+  return fmt::format("'{}' is not an http:// or https:// URL", text);
+}
+
+std::string PathFault(const SchemaRow& /*row*/, const std::string& text) {
+  if (text.empty() || text.front() != '/')
+    return fmt::format("'{}' does not start with '/'", text);
+  if (text.size() > kMaxPathLength)
+    return fmt::format("the path is longer than {} characters", kMaxPathLength);
+  if (!std::all_of(text.begin(), text.end(), IsPathCharacter))
+    return fmt::format("'{}' has characters that a path can't have", text);
+  return {};
+}
+
+struct TypeRules {
+  // nullptr if the value is no scalar.
+  std::string (*scalar_fault)(const SchemaRow&, const std::string&);
+  bool is_list;
+};
+
+// In the order of FieldType.
+constexpr TypeRules kTypeRules[] = {
+    {nullptr, false},        // kMap
+    {nullptr, true},         // kMapList
+    {NameFault, false},      // kName
+    {NameFault, true},       // kNameList
+    {TextFault, false},      // kText
+    {NumberFault, false},    // kCount
+    {NumberFault, false},    // kBytes
+    {DurationFault, false},  // kDuration
+    {BooleanFault, false},   // kBoolean
+    {ChoiceFault, false},    // kChoice
+    {ChoiceFault, true},     // kChoiceList
+    {AddressFault, false},   // kAddress
+    {EndpointFault, false},  // kEndpoint
+    {EndpointFault, true},   // kEndpointList
+    {UrlFault, false},       // kUrl
+    {PathFault, false},      // kPathPrefix
+};
+
+const TypeRules& RulesOf(FieldType type) {
+  const auto index = static_cast<std::size_t>(type);
+  assert(index < std::size(kTypeRules) && "field type out of range");
+  return kTypeRules[index];
+}
+
+class Checker {
+ public:
+  Checker(std::span<const SchemaRow> schema, DiagnosticSink& sink)
+      : schema_(schema), sink_(sink) {}
+
+  // `prefix` is "" or "listen." or "services[].".
+  void CheckMap(const YAML::Node& node, const std::string& prefix) {
+    if (!node.IsMap()) {
+      sink_.Add(node.Mark(), "expected a map of fields");
+      return;
+    }
+    std::set<std::string> seen;
+    for (const auto& item : node)
+      CheckItem(item.first, item.second, prefix, &seen);
+    for (const SchemaRow* row : Children(prefix)) {
+      const std::string key(row->path.substr(prefix.size()));
+      if (row->required && seen.find(key) == seen.end())
+        sink_.Add(node.Mark(), fmt::format("the field '{}' is missing", key));
+    }
+  }
+
+ private:
+  std::vector<const SchemaRow*> Children(const std::string& prefix) const {
+    std::vector<const SchemaRow*> rows;
+    for (const SchemaRow& row : schema_) {
+      if (row.path.substr(0, prefix.size()) == prefix &&
+          row.path.find_first_of(".[", prefix.size()) == std::string_view::npos)
+        rows.push_back(&row);
+    }
+    return rows;
+  }
+
+  void CheckItem(const YAML::Node& key,
+                 const YAML::Node& value,
+                 const std::string& prefix,
+                 std::set<std::string>* seen) {
+    if (!key.IsScalar()) {
+      sink_.Add(key.Mark(), "expected the name of a field");
+      return;
+    }
+    const std::string& name = key.Scalar();
+    if (!seen->insert(name).second) {
+      sink_.Add(key.Mark(), fmt::format("the field '{}' is given twice", name));
+      return;
+    }
+    std::vector<std::string> names;
+    for (const SchemaRow* row : Children(prefix)) {
+      names.emplace_back(row->path.substr(prefix.size()));
+      if (names.back() != name)
+        continue;
+      CheckValue(*row, value);
+      return;
+    }
+    sink_.Add(key.Mark(), fmt::format("unknown field '{}'", name),
+              NearestName(name, names));
+  }
+
+  void CheckValue(const SchemaRow& row, const YAML::Node& value) {
+    if (!RulesOf(row.type).is_list) {
+      CheckOne(row, value, ".");
+      return;
+    }
+    if (!value.IsSequence()) {
+      sink_.Add(value.Mark(), fmt::format("'{}' must be a list", row.path));
+      return;
+    }
+    for (const auto& item : value)
+      CheckOne(row, item, "[].");
+  }
+
+  void CheckOne(const SchemaRow& row,
+                const YAML::Node& value,
+                const char* separator) {
+    const TypeRules& rules = RulesOf(row.type);
+    if (rules.scalar_fault == nullptr) {
+      CheckMap(value, std::string(row.path) + separator);
+      return;
+    }
+    if (!value.IsScalar()) {
+      sink_.Add(value.Mark(), fmt::format("'{}' must be a single value, not {}",
+                                          row.path, KindOf(value)));
+      return;
+    }
+    const std::string fault = rules.scalar_fault(row, value.Scalar());
+    if (!fault.empty())
+      sink_.Add(value.Mark(), fault,
+                NearestName(value.Scalar(), Split(row.choices, '|')));
+  }
+
+  static std::string_view KindOf(const YAML::Node& value) {
+    if (value.IsMap())
+      return "a map";
+    return value.IsSequence() ? "a list" : "nothing";
+  }
+
+  std::span<const SchemaRow> schema_;
+  DiagnosticSink& sink_;
+};
+
+}  // namespace
+
+void DiagnosticSink::Add(const YAML::Mark& mark,
+                         std::string message,
+                         std::string nearest) {
+  out_->push_back({file_, std::max(mark.line, 0) + 1,
+                   std::max(mark.column, 0) + 1, std::move(message),
+                   std::move(nearest)});
+}
+
+std::optional<YAML::Node> CheckDocument(const SourceText& source,
+                                        std::span<const SchemaRow> schema,
+                                        DiagnosticSink& sink) {
+  std::vector<YAML::Node> documents;
+  try {
+    documents = YAML::LoadAll(source.text);
+  } catch (const YAML::Exception& error) {
+    sink.Add(error.mark, fmt::format("not valid YAML: {}", error.msg));
+    return std::nullopt;
+  }
+  if (documents.empty() || documents.front().IsNull()) {
+    sink.Add(YAML::Mark(), "the file is empty");
+    return std::nullopt;
+  }
+  // Without this, everything after a "---" would be passed over silently.
+  if (documents.size() > 1)
+    sink.Add(documents[1].Mark(), "a file has only one YAML document");
+  Checker(schema, sink).CheckMap(documents.front(), "");
+  if (!documents.front().IsMap())
+    return std::nullopt;
+  return documents.front();
+}
+
+std::string ScalarFault(const SchemaRow& row, const std::string& text) {
+  return RulesOf(row.type).scalar_fault(row, text);
+}
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (result.ec != std::errc() || result.ptr != end)
+    return std::nullopt;
+  return value;
+}
+
+bool IsAddress(const std::string& text) {
+  std::array<unsigned char, sizeof(in6_addr)> buffer{};
+  return inet_pton(AF_INET, text.c_str(), buffer.data()) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), buffer.data()) == 1;
+}
+
+const SchemaRow& RowOf(std::span<const SchemaRow> schema,
+                       std::string_view path) {
+  const auto found =
+      std::find_if(schema.begin(), schema.end(),
+                   [path](const SchemaRow& row) { return row.path == path; });
+  assert(found != schema.end() && "no such field in the schema");
+  return *found;
+}
+
+std::string TextOr(const YAML::Node& map,
+                   const char* key,
+                   const SchemaRow& row) {
+  if (map.IsMap()) {
+    const YAML::Node value = map[key];
+    if (value && value.IsScalar() && ScalarFault(row, value.Scalar()).empty())
+      return value.Scalar();
+  }
+  return std::string(row.fallback);
+}
+
+}  // namespace sesamespread::state
