--- a/include/sesamespread/transport/inbound_calls.h
+++ b/include/sesamespread/transport/inbound_calls.h
@@ -75,7 +75,7 @@
   };
   using LinkId = std::uint64_t;
 
-  void OnAccept(std::shared_ptr<PeerLink> link);
+  void OnAccept(const std::shared_ptr<PeerLink>& link);
   void OnMessage(LinkId id, protocol::PeerMessage message);
   void OnCall(LinkId id, protocol::CallRequest request);
   void OnAnswer(LinkId id, protocol::CallAnswer answer);
--- a/include/sesamespread/transport/local_executor.h
+++ b/include/sesamespread/transport/local_executor.h
@@ -81,8 +81,8 @@
   /// server got.
   coordination::RequestLedger& ledger() { return ledger_; }
 
-  /// A sub-call of the request with \p ticket starts or ends; time spent waiting
-  /// for sub-calls is not the backend server's own latency.
+  /// A sub-call of the request with \p ticket starts or ends; time spent
+  /// waiting for sub-calls is not the backend server's own latency.
   void OnSubCallStarted(coordination::Ticket ticket);
   void OnSubCallEnded(coordination::Ticket ticket);
 
@@ -129,7 +129,9 @@
   HttpRequest MakeHttpRequest(Ticket ticket, const Execution& execution) const;
   void OnOutcome(Ticket ticket, HttpOutcome outcome);
   void Apply(const coordination::AdmissionActions& actions);
-  void Refuse(Ticket ticket, state::ResultCode code, state::Duration retry_after);
+  void Refuse(Ticket ticket,
+              state::ResultCode code,
+              state::Duration retry_after);
   void FinishLater(Ticket ticket,
                    state::ResultCode code,
                    state::RunState run_state,
--- a/include/sesamespread/transport/outbound_calls.h
+++ b/include/sesamespread/transport/outbound_calls.h
@@ -121,7 +121,7 @@
   void ExpectReady(state::NodeId node, const std::shared_ptr<PeerLink>& link);
   void VerifyLink(state::NodeId node, Session& session);
   void Flush(Session& session);
-  void OnConnected(state::NodeId node, std::shared_ptr<PeerLink> link);
+  void OnConnected(state::NodeId node, const std::shared_ptr<PeerLink>& link);
   void SendCall(Handle handle, PendingCall& call, Session& session);
   void FailWaiting(Session& session);
   void OnLinkClosed(state::NodeId node,
--- a/include/sesamespread/transport/request_handler.h
+++ b/include/sesamespread/transport/request_handler.h
@@ -99,7 +99,7 @@
       const std::vector<coordination::ClaimResolution>& resolutions);
   void PumpClaims();
   void Send(RequestKey key, std::optional<state::NodeIncarnation> target);
-  void OnAnswer(RequestKey key, protocol::CallAnswer answer);
+  void OnAnswer(RequestKey key, const protocol::CallAnswer& answer);
   void OnAbandoned(RequestKey key);
   void Respond(const Request& request, const protocol::CallAnswer& answer);
   void Refuse(const Request& request,
--- /dev/null
+++ b/lib/transport/control_plane.cc
@@ -0,0 +1,277 @@
+/// \file
+/// The control thread of a node.
+#include "sesamespread/transport/control_plane.h"
+
+#include <utility>
+
+namespace sesamespread::transport {
+namespace {
+
+using coordination::MembershipEvent;
+
+// What Membership and ConfigurationReplica ask for.
+constexpr state::Duration kTickInterval = std::chrono::milliseconds(100);
+
+// Records in one answer to a pull.
+constexpr std::size_t kRecordsPerPush = 64 << 10;
+
+std::mt19937_64 SeededRandom() {
+  std::random_device device;
+  return std::mt19937_64((static_cast<std::uint64_t>(device()) << 32) |
+                         device());
+}
+
+state::NodeRecord OwnRecord(const state::NodeSettings& settings,
+                            state::Incarnation incarnation,
+                            std::uint16_t peer_port,
+                            std::uint16_t gossip_port) {
+  state::NodeRecord own;
+  own.node = state::NodeIdOf(settings.name);
+  own.incarnation = incarnation;
+  own.name = settings.name;
+  own.zone = settings.availability_zone;
+  const std::string& advertised = settings.advertise;
+  own.peer = {advertised.empty() ? settings.listen.peer.address : advertised,
+              peer_port};
+  own.gossip = {
+      advertised.empty() ? settings.listen.gossip.address : advertised,
+      gossip_port};
+  return own;
+}
+
+}  // namespace
+
+ControlPlane::ControlPlane(boost::asio::io_context& context,
+                           const state::NodeSettings& settings,
+                           state::Incarnation incarnation,
+                           std::uint16_t peer_port,
+                           EventLog& log,
+                           ControlPlaneEvents& events)
+    : settings_(settings),
+      log_(log),
+      events_(events),
+      deadlines_(context),
+      replica_(coordination::ConfigurationReplicaOptions(), SeededRandom()) {
+  socket_ = std::make_unique<GossipSocket>(
+      context, settings.listen.gossip,
+      [this](const protocol::GossipMessage& message, std::size_t bytes) {
+        membership_->Receive(message, bytes, Now());
+        AfterChange();
+      });
+  membership_ = std::make_unique<coordination::Membership>(
+      OwnRecord(settings, incarnation, peer_port, socket_->port()),
+      settings.seeds, coordination::MembershipOptions(), SeededRandom(), Now());
+  Tick();
+}
+
+void ControlPlane::SetBackend(const std::string& service,
+                              state::BackendState state) {
+  membership_->SetBackend(service, state, Now());
+  dirty_.insert(service);
+  AfterChange();
+}
+
+void ControlPlane::Subscribe(const std::string& service) {
+  subscribed_.insert(service);
+  dirty_.insert(service);
+  PublishServers();
+}
+
+void ControlPlane::OnPeerControl(
+    state::NodeId from,
+    const protocol::PeerMessage& message,
+    const std::function<void(protocol::PeerMessage)>& reply) {
+  const state::Instant now = Now();
+  if (const auto* pull = std::get_if<protocol::ConfigurationPull>(&message)) {
+    const auto answer = replica_.AnswerPull(pull->have_version);
+    if (answer && reply)
+      reply(protocol::ConfigurationPush{answer->delta, answer->full});
+    return;
+  }
+  if (const auto* push = std::get_if<protocol::ConfigurationPush>(&message)) {
+    replica_.OnPush(push->delta, push->full, from, now);
+    AfterChange();
+    return;
+  }
+  if (const auto* pull = std::get_if<protocol::NodeRecordsPull>(&message)) {
+    protocol::NodeRecordsPush push;
+    push.records = membership_->RecordsFrom(pull->from_index, kRecordsPerPush,
+                                            &push.next_index, &push.total);
+    if (reply)
+      reply(std::move(push));
+    return;
+  }
+  const auto* push = std::get_if<protocol::NodeRecordsPush>(&message);
+  if (!push)
+    return;
+  membership_->ApplyRecords(push->records, now);
+  const auto record = membership_->Find(from);
+  if (push->next_index < push->total && !push->records.empty() && record)
+    events_.OnSendControl(from, record->peer,
+                          protocol::NodeRecordsPull{push->next_index});
+  AfterChange();
+}
+
+void ControlPlane::OnPlatformHead(state::ConfigurationVersion version,
+                                  std::uint64_t digest) {
+  if (const auto order = replica_.OnPlatformHead(version, digest))
+    events_.OnReadPlatform(*order);
+}
+
+void ControlPlane::OnPlatformDelta(const state::ConfigurationDelta& delta,
+                                   bool full) {
+  replica_.OnPush(delta, full, 0, Now());
+  AfterChange();
+}
+
+void ControlPlane::AnnounceDeparture() {
+  membership_->AnnounceDeparture(Now());
+  SendDatagrams();
+}
+
+ControlStatus ControlPlane::Status(std::size_t max_nodes) const {
+  ControlStatus status;
+  status.configuration_version = replica_.current()->version();
+  status.configuration_digest = replica_.current()->digest();
+  status.highest_seen_version = replica_.highest_seen();
+  status.isolated = membership_->isolated();
+  status.reader = IsReader();
+  status.gossip_bytes_sent = membership_->counters().bytes_sent;
+  status.gossip_bytes_received = membership_->counters().bytes_received;
+  membership_->ForEach(
+      [&status, max_nodes](const state::NodeRecord& record, bool live) {
+        ++status.nodes_known;
+        status.nodes_live += live ? 1 : 0;
+        if (status.nodes.size() < max_nodes)
+          status.nodes.push_back({record, live});
+      });
+  return status;
+}
+
+void ControlPlane::Tick() {
+  const state::Instant now = Now();
+  membership_->Tick(now);
+  for (const coordination::ConfigurationPullOrder& order : replica_.Tick(now))
+    Pull(order);
+  if (replica_.ShouldReadPlatform(IsReader(), membership_->isolated(), now))
+    events_.OnReadHead();
+  AfterChange();
+  deadlines_.Schedule(now + kTickInterval, [this] { Tick(); });
+}
+
+void ControlPlane::AfterChange() {
+  HandleEvents();
+  PublishConfiguration();
+  PublishServers();
+  SendDatagrams();
+}
+
+void ControlPlane::SendDatagrams() {
+  for (const coordination::OutgoingGossip& outgoing :
+       membership_->TakeDatagrams())
+    socket_->Send(outgoing.to, outgoing.message);
+}
+
+void ControlPlane::HandleEvents() {
+  for (const MembershipEvent& event : membership_->TakeEvents())
+    HandleEvent(event);
+}
+
+void ControlPlane::HandleEvent(const MembershipEvent& event) {
+  using Kind = MembershipEvent::Kind;
+  switch (event.kind) {
+    case Kind::kRecordChanged:
+    case Kind::kRecordForgotten:
+      dirty_.insert(event.record.service);
+      LogMembership("node_changed", event);
+      return;
+    case Kind::kZoneLost:
+    case Kind::kZoneRecovered:
+      dirty_ = subscribed_;
+      LogMembership(
+          event.kind == Kind::kZoneLost ? "zone_lost" : "zone_recovered",
+          event);
+      return;
+    case Kind::kRegionUnreachable:
+      LogMembership("region_unreachable", event);
+      return;
+    case Kind::kRegionReachable:
+      LogMembership("region_reachable", event);
+      return;
+    case Kind::kIsolated:
+      LogMembership("isolated", event);
+      return;
+    case Kind::kNotIsolated:
+      LogMembership("not_isolated", event);
+      return;
+    case Kind::kNewerConfiguration:
+      if (const auto order = replica_.OnContact(event.version, event.digest,
+                                                event.record, Now()))
+        Pull(*order);
+      return;
+    case Kind::kPullRecords:
+      events_.OnSendControl(event.record.node, event.record.peer,
+                            protocol::NodeRecordsPull{0});
+      return;
+    case Kind::kSuperseded:
+      LogMembership("superseded", event);
+      events_.OnSuperseded();
+      return;
+  }
+}
+
+void ControlPlane::Pull(const coordination::ConfigurationPullOrder& order) {
+  events_.OnSendControl(order.node, order.peer,
+                        protocol::ConfigurationPull{order.have_version});
+}
+
+void ControlPlane::PublishConfiguration() {
+  const auto current = replica_.current();
+  if (current->version() == published_version_)
+    return;
+  published_version_ = current->version();
+  membership_->SetConfiguration(current->version(), current->digest(), Now());
+  std::map<std::string, std::string, std::less<>> regions;
+  for (const auto& [name, zone] : current->zones())
+    regions.emplace(name, zone.region);
+  membership_->SetRegions(std::move(regions));
+  log_.Write(Duty::kControl, LogLevel::kInfo, "configuration_in_force",
+             {{"version", std::to_string(current->version())},
+              {"digest", state::ToHex(current->digest())}});
+  events_.OnConfiguration(current);
+}
+
+void ControlPlane::PublishServers() {
+  for (const std::string& service : std::exchange(dirty_, {})) {
+    if (subscribed_.count(service) > 0)
+      events_.OnServers(service, membership_->ServersOf(service));
+  }
+}
+
+bool ControlPlane::IsReader() const {
+  const std::string& zone = settings_.availability_zone;
+  for (const state::NodeId reader :
+       coordination::ReadersOf(zone, membership_->LiveNodesIn(zone))) {
+    if (reader == membership_->own().node)
+      return true;
+  }
+  return false;
+}
+
+void ControlPlane::LogMembership(const char* event,
+                                 const MembershipEvent& details) {
+  const state::NodeRecord& record = details.record;
+  log_.Write(
+      Duty::kControl,
+      details.kind == MembershipEvent::Kind::kRecordChanged
+          ? LogLevel::kDebug
+          : LogLevel::kWarning,
+      event,
+      {{"peer", record.name},
+       {"zone", details.zone.empty() ? record.zone : details.zone},
+       {"service", record.service},
+       {"backend_state", std::string(state::ToString(record.backend_state))},
+       {"liveness", std::string(state::ToString(record.liveness))}});
+}
+
+}  // namespace sesamespread::transport
--- a/lib/transport/inbound_calls.cc
+++ b/lib/transport/inbound_calls.cc
@@ -24,9 +24,10 @@
       self_(std::move(self)),
       executor_(executor),
       on_control_(std::move(on_control)),
-      listener_(context, endpoint, [this](std::shared_ptr<PeerLink> link) {
-        OnAccept(std::move(link));
-      }) {
+      listener_(
+          context,
+          endpoint,
+          [this](const std::shared_ptr<PeerLink>& link) { OnAccept(link); }) {
   CheckLinks();
 }
 
@@ -49,7 +50,7 @@
   return count;
 }
 
-void InboundCalls::OnAccept(std::shared_ptr<PeerLink> link) {
+void InboundCalls::OnAccept(const std::shared_ptr<PeerLink>& link) {
   if (links_.size() >= kMaxInboundLinks) {
     link->Close("too many links");
     return;
@@ -89,14 +90,14 @@
     });
     return;
   }
-  on_control_(std::move(message), [this, id, alive = alive_](
-                                      const protocol::PeerMessage& reply) {
-    if (!*alive)
-      return;
-    const auto found = links_.find(id);
-    if (found != links_.end())
-      found->second.link->Send(reply);
-  });
+  on_control_(std::move(message),
+              [this, id, alive = alive_](const protocol::PeerMessage& reply) {
+                if (!*alive)
+                  return;
+                const auto found = links_.find(id);
+                if (found != links_.end())
+                  found->second.link->Send(reply);
+              });
 }
 
 void InboundCalls::OnCall(LinkId id, protocol::CallRequest request) {
@@ -150,8 +151,7 @@
   if (found == links_.end())
     return;
   InboundLink& link = found->second;
-  while (!link.streams.empty() &&
-         link.link->queued_bytes() < kChunkWatermark) {
+  while (!link.streams.empty() && link.link->queued_bytes() < kChunkWatermark) {
     Stream stream = std::move(link.streams.front());
     link.streams.pop_front();
     const std::size_t size =
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -78,8 +78,8 @@
   if (session.waiting_calls.size() >= kMaxWaitingPerNode) {
     boost::asio::post(context_, [this, handle, alive = alive_] {
       if (*alive)
-        FailCall(handle, state::ResultCode::kNodeBusy,
-                 state::RunState::kNotRun, "too many calls wait for the link");
+        FailCall(handle, state::ResultCode::kNodeBusy, state::RunState::kNotRun,
+                 "too many calls wait for the link");
     });
     return handle;
   }
@@ -149,15 +149,16 @@
   if (session.connecting || session.link)
     return;
   session.connecting = true;
-  ConnectPeer(context_, session.endpoint, kPeerConnectTimeout,
-              [this, node, alive = alive_](std::shared_ptr<PeerLink> link) {
-                if (*alive)
-                  OnConnected(node, std::move(link));
-              });
+  ConnectPeer(
+      context_, session.endpoint, kPeerConnectTimeout,
+      [this, node, alive = alive_](const std::shared_ptr<PeerLink>& link) {
+        if (*alive)
+          OnConnected(node, link);
+      });
 }
 
 void OutboundCalls::OnConnected(state::NodeId node,
-                                std::shared_ptr<PeerLink> link) {
+                                const std::shared_ptr<PeerLink>& link) {
   Session& session = sessions_[node];
   session.connecting = false;
   if (!link) {
@@ -348,7 +349,8 @@
   PendingCall& call = found->second;
   if (!call.link) {
     FailCall(handle, state::ResultCode::kDeadlineBeforeStart,
-             state::RunState::kNotRun, "the deadline passed before a link opened");
+             state::RunState::kNotRun,
+             "the deadline passed before a link opened");
     return;
   }
   call.link->Send(protocol::Cancel{handle});
