--- /dev/null
+++ b/bench/harness/http.cc
@@ -0,0 +1,51 @@
+/// \file
+/// A blocking HTTP client for the test bench, on the product's asynchronous one.
+#include "harness/http.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include "sesamespread/transport/deadline_queue.h"
+#include "sesamespread/transport/http_client.h"
+
+namespace sesamespread::bench {
+
+HttpResult Fetch(std::uint16_t port,
+                 const transport::HttpRequest& request,
+                 std::chrono::milliseconds timeout) {
+  boost::asio::io_context context;
+  transport::HttpClientOptions options;
+  options.max_body_bytes = 64 << 20;
+  transport::HttpClient client(context, options);
+  HttpResult result;
+  bool done = false;
+  client.Send({"127.0.0.1", port}, request, transport::Now() + timeout,
+              [&result, &done](transport::HttpOutcome outcome) {
+                done = true;
+                if (outcome.kind != transport::HttpOutcomeKind::kAnswered)
+                  return;
+                result.status = outcome.response.status;
+                result.headers = std::move(outcome.response.headers);
+                result.body = std::move(outcome.response.body);
+              });
+  while (!done && context.run_one() > 0) {
+  }
+  return result;
+}
+
+HttpResult Get(std::uint16_t port, const std::string& target) {
+  transport::HttpRequest request;
+  request.target = target;
+  return Fetch(port, request);
+}
+
+HttpResult Post(std::uint16_t port,
+                const std::string& target,
+                const std::string& body) {
+  transport::HttpRequest request;
+  request.method = "POST";
+  request.target = target;
+  request.body = body;
+  return Fetch(port, request);
+}
+
+}  // namespace sesamespread::bench
--- /dev/null
+++ b/bench/harness/http.h
@@ -0,0 +1,34 @@
+/// \file
+/// A blocking HTTP client for the test bench.
+#ifndef SESAMESPREAD_BENCH_HARNESS_HTTP_H_
+#define SESAMESPREAD_BENCH_HARNESS_HTTP_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "sesamespread/transport/http_message.h"
+
+namespace sesamespread::bench {
+
+/// An answer; status 0 means that there was none within the timeout.
+struct HttpResult {
+  std::uint16_t status = 0;
+  std::vector<protocol::Header> headers;
+  std::string body;
+};
+
+/// Sends one request to 127.0.0.1:\p port on a connection of its own.
+HttpResult Fetch(std::uint16_t port,
+                 const transport::HttpRequest& request,
+                 std::chrono::milliseconds timeout = std::chrono::seconds(5));
+
+HttpResult Get(std::uint16_t port, const std::string& target);
+HttpResult Post(std::uint16_t port,
+                const std::string& target,
+                const std::string& body);
+
+}  // namespace sesamespread::bench
+
+#endif  // SESAMESPREAD_BENCH_HARNESS_HTTP_H_
--- /dev/null
+++ b/bench/harness/process.cc
@@ -0,0 +1,161 @@
+/// \file
+/// Child processes of the test bench.
+#include "harness/process.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace sesamespread::bench {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+[[noreturn]] void Exec(const std::vector<std::string>& arguments,
+                       int output,
+                       const std::string& log_path) {
+  // The child must not outlive the bench, whatever ends it.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  dup2(output, STDOUT_FILENO);
+  const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  if (log >= 0)
+    dup2(log, STDERR_FILENO);
+  std::vector<char*> argv;
+  for (const std::string& argument : arguments)
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  argv.push_back(nullptr);
+  execv(argv[0], argv.data());
+  _exit(127);
+}
+
+}  // namespace
+
+std::string BinaryDir() {
+  return SESAMESPREAD_BINARY_DIR;
+}
+
+std::string SourceDir() {
+  return SESAMESPREAD_SOURCE_DIR;
+}
+
+Process::Process(const std::vector<std::string>& arguments,
+                 const std::string& log_path) {
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC) != 0)
+    throw std::runtime_error("pipe failed");
+  pid_ = fork();
+  if (pid_ < 0)
+    throw std::runtime_error("fork failed");
+  if (pid_ == 0)
+    Exec(arguments, ends[1], log_path);
+  close(ends[1]);
+  output_ = ends[0];
+}
+
+Process::~Process() {
+  if (!ended_) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  close(output_);
+}
+
+std::string Process::ReadLine(std::chrono::milliseconds timeout) {
+  const auto until = Clock::now() + timeout;
+  while (true) {
+    const std::size_t end = buffer_.find('\n');
+    if (end != std::string::npos) {
+      std::string line = buffer_.substr(0, end);
+      buffer_.erase(0, end + 1);
+      return line;
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        until - Clock::now());
+    pollfd descriptor{output_, POLLIN, 0};
+    if (left.count() <= 0 ||
+        poll(&descriptor, 1, static_cast<int>(left.count())) <= 0)
+      return "";
+    char chunk[4096];
+    const ssize_t size = read(output_, chunk, sizeof(chunk));
+    if (size <= 0)
+      return "";
+    buffer_.append(chunk, static_cast<std::size_t>(size));
+  }
+}
+
+std::string Process::ReadAll() {
+  char chunk[4096];
+  ssize_t size = 0;
+  while ((size = read(output_, chunk, sizeof(chunk))) > 0)
+    buffer_.append(chunk, static_cast<std::size_t>(size));
+  return buffer_;
+}
+
+void Process::Signal(int signal) const {
+  if (!ended_)
+    kill(pid_, signal);
+}
+
+int Process::Wait(std::chrono::milliseconds timeout) {
+  const auto until = Clock::now() + timeout;
+  while (!ended_) {
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) == pid_) {
+      ended_ = true;
+      exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status)
+                                     : 128 + WTERMSIG(status);
+      break;
+    }
+    if (Clock::now() >= until)
+      return -1;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return exit_code_;
+}
+
+RunResult RunProgram(const std::vector<std::string>& arguments,
+                     const std::string& log_path,
+                     std::chrono::milliseconds timeout) {
+  Process process(arguments, log_path);
+  RunResult result;
+  std::thread reader([&] { result.output = process.ReadAll(); });
+  result.exit_code = process.Wait(timeout);
+  if (result.exit_code < 0)
+    process.Signal(SIGKILL);
+  reader.join();
+  return result;
+}
+
+Usage UsageOf(pid_t pid) {
+  Usage usage;
+  std::ifstream statm("/proc/" + std::to_string(pid) + "/statm");
+  long total = 0;
+  long resident = 0;
+  statm >> total >> resident;
+  usage.resident_kib = resident * (sysconf(_SC_PAGESIZE) / 1024);
+  std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+  std::string line;
+  std::getline(stat, line);
+  // Fields 14 and 15 follow the command name, which may hold blanks.
+  std::istringstream fields(line.substr(line.rfind(')') + 2));
+  std::string skipped;
+  for (int field = 3; field < 14; ++field)
+    fields >> skipped;
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  usage.cpu_seconds =
+      (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+  return usage;
+}
+
+}  // namespace sesamespread::bench
--- /dev/null
+++ b/bench/harness/process.h
@@ -0,0 +1,75 @@
+/// \file
+/// Child processes of the demo, the benchmarks and the process-level tests.
+/// Part of the test bench; the product starts no processes.
+#ifndef SESAMESPREAD_BENCH_HARNESS_PROCESS_H_
+#define SESAMESPREAD_BENCH_HARNESS_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace sesamespread::bench {
+
+/// Directory of the binaries that were built with this one.
+std::string BinaryDir();
+/// Root of the source tree.
+std::string SourceDir();
+
+/// A running child process; killed by its id when the object goes.
+class Process {
+ public:
+  /// Starts \p arguments[0] with \p arguments. Its standard output can be read
+  /// with ReadLine; its standard error goes to \p log_path.
+  /// \throws std::runtime_error if it can't be started.
+  Process(const std::vector<std::string>& arguments,
+          const std::string& log_path);
+  ~Process();
+
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  /// The next line of standard output; empty at its end or after \p timeout.
+  std::string ReadLine(std::chrono::milliseconds timeout);
+
+  /// Everything until the end of standard output.
+  std::string ReadAll();
+
+  void Signal(int signal) const;
+
+  /// Waits for the end. \returns the exit code, 128 + n for signal n, or -1 if
+  /// it still runs after \p timeout.
+  int Wait(std::chrono::milliseconds timeout);
+
+  pid_t pid() const { return pid_; }
+
+ private:
+  pid_t pid_ = -1;
+  int output_ = -1;
+  bool ended_ = false;
+  int exit_code_ = -1;
+  std::string buffer_;
+};
+
+/// Result of a program that ran to its end.
+struct RunResult {
+  int exit_code = -1;
+  std::string output;
+};
+
+/// Runs a program and waits for it.
+RunResult RunProgram(const std::vector<std::string>& arguments,
+                     const std::string& log_path,
+                     std::chrono::milliseconds timeout);
+
+/// Resident memory in KiB and processor time in seconds of a process.
+struct Usage {
+  long resident_kib = 0;
+  double cpu_seconds = 0;
+};
+Usage UsageOf(pid_t pid);
+
+}  // namespace sesamespread::bench
+
+#endif  // SESAMESPREAD_BENCH_HARNESS_PROCESS_H_
