--- a/include/sesamespread/transport/http_server.h
+++ b/include/sesamespread/transport/http_server.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "sesamespread/state/node_record.h"
 #include "sesamespread/state/result_code.h"
@@ -43,6 +44,13 @@
   /// set from the body.
   virtual void Respond(HttpResponse response) = 0;
 
+  /// Announces the whole body, sends its first \p size bytes and closes the
+  /// connection. Only for stand-ins that play a faulty server.
+  virtual void RespondTruncated(HttpResponse response,
+                                [[maybe_unused]] std::size_t size) {
+    Respond(std::move(response));
+  }
+
   /// \p callback runs once if the caller closes the connection before Respond.
   virtual void OnAbandoned(std::function<void()> callback) = 0;
 };
--- a/lib/transport/call_dispatcher.cc
+++ b/lib/transport/call_dispatcher.cc
@@ -250,10 +250,9 @@
   if (call.local)
     call.handle = local_.Execute(std::move(request), call.order.deadline, done);
   else
-    call.handle = outbound_.Call(record.node, record.peer, std::move(request),
-                                 call.order.deadline,
-                                 configuration_->limits().max_answer_bytes,
-                                 done);
+    call.handle = outbound_.Call(
+        record.node, record.peer, std::move(request), call.order.deadline,
+        configuration_->limits().max_answer_bytes, done);
 }
 
 void CallDispatcher::OnAnswer(Handle handle, protocol::CallAnswer answer) {
@@ -284,11 +283,11 @@
     router_.OnFailed(call.node, answer.result, now);
     return;
   }
-  const coordination::LoadHint hint{
-      answer.in_progress, answer.limit,
-      answer.thresholds.empty() ? state::kPriorityCount
-                                : answer.thresholds.back().threshold,
-      answer.backend_state};
+  const coordination::LoadHint hint{answer.in_progress, answer.limit,
+                                    answer.thresholds.empty()
+                                        ? state::kPriorityCount
+                                        : answer.thresholds.back().threshold,
+                                    answer.backend_state};
   router_.OnAnswered(call.node, answer.result, now - call.sent, hint, now);
   if (answer.result == ResultCode::kLeaving) {
     if (const state::NodeRecord* record =
@@ -325,9 +324,8 @@
     return false;
   call.attempt = *next;
   metrics_.CountRetry(call.order.request.service);
-  call.retry_id = deadlines_.Schedule(now + decision.delay, [this, handle] {
-    StartAttempt(handle);
-  });
+  call.retry_id = deadlines_.Schedule(now + decision.delay,
+                                      [this, handle] { StartAttempt(handle); });
   return true;
 }
 
@@ -335,20 +333,21 @@
                                ResultCode code,
                                RunState run_state,
                                const std::string& detail) {
-  boost::asio::post(context_, [this, handle, code, run_state, detail,
-                               alive = alive_] {
-    if (!*alive)
-      return;
-    const auto found = calls_.find(handle);
-    if (found == calls_.end())
-      return;
-    protocol::CallRequest request = found->second.order.request;
-    request.allotment = found->second.attempt.allotment;
-    protocol::CallAnswer answer = FailedAnswer(request, code, run_state, detail);
-    found->second.order.ledger->Settle(found->second.attempt.id,
-                                       answer.unused_allotment);
-    Finish(handle, std::move(answer));
-  });
+  boost::asio::post(
+      context_, [this, handle, code, run_state, detail, alive = alive_] {
+        if (!*alive)
+          return;
+        const auto found = calls_.find(handle);
+        if (found == calls_.end())
+          return;
+        protocol::CallRequest request = found->second.order.request;
+        request.allotment = found->second.attempt.allotment;
+        protocol::CallAnswer answer =
+            FailedAnswer(request, code, run_state, detail);
+        found->second.order.ledger->Settle(found->second.attempt.id,
+                                           answer.unused_allotment);
+        Finish(handle, std::move(answer));
+      });
 }
 
 void CallDispatcher::Finish(Handle handle, protocol::CallAnswer answer) {
--- a/lib/transport/deadline_queue.cc
+++ b/lib/transport/deadline_queue.cc
@@ -46,12 +46,12 @@
     }
     armed_for_ = entries_.begin()->first.first;
     timer_.expires_at(armed_for_);
-    timer_.async_wait([weak = weak_from_this()](
-                          const boost::system::error_code& error) {
-      const auto self = weak.lock();
-      if (!error && self)
-        self->RunExpired();
-    });
+    timer_.async_wait(
+        [weak = weak_from_this()](const boost::system::error_code& error) {
+          const auto self = weak.lock();
+          if (!error && self)
+            self->RunExpired();
+        });
   }
 
   void RunExpired() {
--- a/lib/transport/event_log.cc
+++ b/lib/transport/event_log.cc
@@ -81,13 +81,12 @@
     ++window.suppressed;
     return;
   }
-  std::string line = fmt::format("time={} level={} node={} event={}",
-                                 Timestamp(),
-                                 state::ToString(level),
-                                 node_name_, event);
+  std::string line =
+      fmt::format("time={} level={} node={} event={}", Timestamp(),
+                  state::ToString(level), node_name_, event);
   for (const auto& [key, value] : fields)
-    line += fmt::format(" {}={}", key,
-                        NeedsQuotes(value) ? Quoted(value) : value);
+    line +=
+        fmt::format(" {}={}", key, NeedsQuotes(value) ? Quoted(value) : value);
   if (suppressed > 0)
     line += fmt::format(" suppressed={}", suppressed);
   line += '\n';
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <limits>
 #include <optional>
 #include <system_error>
 #include <unordered_set>
@@ -50,6 +51,8 @@
 /// Suggested to callers that met the bound on connections.
 constexpr std::chrono::seconds kBusyRetryAfter{1};
 
+constexpr std::size_t kWholeBody = std::numeric_limits<std::size_t>::max();
+
 constexpr steady_clock::time_point kNever = steady_clock::time_point::max();
 
 HttpResponse ProblemResponse(state::ResultCode code, std::string_view detail) {
@@ -60,6 +63,9 @@
   response.headers = {{"Content-Type", "application/problem+json"},
                       {std::string(protocol::kResultField),
                        std::to_string(static_cast<int>(code))}};
+  // Also serves stand-ins of backend servers, whose nodes look for this.
+  if (info.run_state == state::RunState::kNotRun)
+    response.headers.push_back({std::string(protocol::kNotRunField), "1"});
   if (busy) {
     response.headers.push_back(
         {"Retry-After", std::to_string(kBusyRetryAfter.count())});
@@ -189,9 +195,13 @@
     server_->connections_.erase(shared_from_this());
   }
 
-  void Respond(std::uint64_t exchange, HttpResponse response) {
+  void Respond(std::uint64_t exchange,
+               HttpResponse response,
+               std::size_t body_bytes) {
     if (phase_ != Phase::kHandling || exchange != exchange_)
       return;
+    body_bytes_ = body_bytes;
+    close_after_ = close_after_ || body_bytes < response.body.size();
     const std::function<void()> dropped = std::move(on_abandoned_);
     on_abandoned_ = nullptr;
     Answer(std::move(response));
@@ -341,6 +351,7 @@
   void Fail(state::ResultCode code, std::string_view detail) {
     close_after_ = true;
     head_ = false;
+    body_bytes_ = kWholeBody;
     Answer(ProblemResponse(code, detail));
   }
 
@@ -360,6 +371,7 @@
       wire::AppendField(&header_, "Connection", "keep-alive");
     header_ += "\r\n";
     body_ = no_content || head_ ? std::string() : std::move(response.body);
+    body_.resize(std::min(body_.size(), body_bytes_));
     written_ = 0;
     phase_ = Phase::kWriting;
     Write();
@@ -436,6 +448,8 @@
   std::function<void()> on_abandoned_;
   bool abandoned_ = false;
   bool head_ = false;
+  /// How much of the answer's body is sent.
+  std::size_t body_bytes_ = kWholeBody;
   bool http_1_0_ = false;
   bool close_after_ = false;
   bool refused_ = false;
@@ -462,7 +476,11 @@
   const HttpRequest& request() const override { return request_; }
 
   void Respond(HttpResponse response) override {
-    connection_->Respond(number_, std::move(response));
+    connection_->Respond(number_, std::move(response), kWholeBody);
+  }
+
+  void RespondTruncated(HttpResponse response, std::size_t size) override {
+    connection_->Respond(number_, std::move(response), size);
   }
 
   void OnAbandoned(std::function<void()> callback) override {
--- a/lib/transport/inbound_calls.cc
+++ b/lib/transport/inbound_calls.cc
@@ -89,14 +89,14 @@
     });
     return;
   }
-  on_control_(std::move(message), [this, id, alive = alive_](
-                                      const protocol::PeerMessage& reply) {
-    if (!*alive)
-      return;
-    const auto found = links_.find(id);
-    if (found != links_.end())
-      found->second.link->Send(reply);
-  });
+  on_control_(std::move(message),
+              [this, id, alive = alive_](const protocol::PeerMessage& reply) {
+                if (!*alive)
+                  return;
+                const auto found = links_.find(id);
+                if (found != links_.end())
+                  found->second.link->Send(reply);
+              });
 }
 
 void InboundCalls::OnCall(LinkId id, protocol::CallRequest request) {
@@ -150,8 +150,7 @@
   if (found == links_.end())
     return;
   InboundLink& link = found->second;
-  while (!link.streams.empty() &&
-         link.link->queued_bytes() < kChunkWatermark) {
+  while (!link.streams.empty() && link.link->queued_bytes() < kChunkWatermark) {
     Stream stream = std::move(link.streams.front());
     link.streams.pop_front();
     const std::size_t size =
--- a/lib/transport/local_executor.cc
+++ b/lib/transport/local_executor.cc
@@ -116,8 +116,8 @@
                               const coordination::StoredAnswer& stored) {
   protocol::CallAnswer answer;
   answer.request_id = request.request_id;
-  answer.result = state::IsAnswered(stored.result) ? ResultCode::kReplayed
-                                                   : stored.result;
+  answer.result =
+      state::IsAnswered(stored.result) ? ResultCode::kReplayed : stored.result;
   answer.run_state = RunState::kRan;
   answer.unused_allotment = request.allotment;
   if (!stored.body_kept) {
@@ -336,36 +336,37 @@
                 "the idempotency key can't be read");
     return false;
   }
-  const std::uint64_t fingerprint = coordination::FingerprintOf(
-      request.service, request.method, request.path, request.body,
-      request.caller_identity);
+  const std::uint64_t fingerprint =
+      coordination::FingerprintOf(request.service, request.method, request.path,
+                                  request.body, request.caller_identity);
   const ExecutionTable::Outcome outcome =
       keys_.Begin(*execution.key, fingerprint, ticket, Now());
   if (outcome.verdict == ExecutionTable::Verdict::kRun)
     return true;
   if (outcome.verdict == ExecutionTable::Verdict::kAttached) {
     execution.phase = Phase::kAttached;
-    execution.deadline_id = deadlines_.Schedule(execution.deadline, [this,
-                                                                     ticket] {
-      const auto found = executions_.find(ticket);
-      if (found == executions_.end())
-        return;
-      keys_.Detach(*found->second.key, ticket);
-      Finish(ticket, FailedAnswer(found->second.request, ResultCode::kInProgress,
-                                  RunState::kUnknown,
-                                  "the first request with this key still runs"));
-    });
+    execution.deadline_id =
+        deadlines_.Schedule(execution.deadline, [this, ticket] {
+          const auto found = executions_.find(ticket);
+          if (found == executions_.end())
+            return;
+          keys_.Detach(*found->second.key, ticket);
+          Finish(ticket,
+                 FailedAnswer(found->second.request, ResultCode::kInProgress,
+                              RunState::kUnknown,
+                              "the first request with this key still runs"));
+        });
     return false;
   }
   // The call holds no claim on the key, so that Finish must not end it.
   execution.key.reset();
   if (outcome.verdict == ExecutionTable::Verdict::kReplay) {
-    boost::asio::post(context_, [this, ticket, stored = outcome.answer,
-                                 alive = alive_] {
-      const auto found = executions_.find(ticket);
-      if (*alive && found != executions_.end())
-        Finish(ticket, Replayed(found->second.request, *stored));
-    });
+    boost::asio::post(
+        context_, [this, ticket, stored = outcome.answer, alive = alive_] {
+          const auto found = executions_.find(ticket);
+          if (*alive && found != executions_.end())
+            Finish(ticket, Replayed(found->second.request, *stored));
+        });
     return false;
   }
   for (const VerdictRow& row : kVerdicts) {
@@ -398,13 +399,13 @@
   execution.started = Now();
   ledger_.Open(ticket, ContextOf(execution.request, execution.deadline),
                execution.started);
-  execution.http = http_->Send(
-      backend_->endpoint, MakeHttpRequest(ticket, execution),
-      execution.deadline + kDeadlineGrace,
-      [this, ticket, alive = alive_](HttpOutcome outcome) {
-        if (*alive)
-          OnOutcome(ticket, std::move(outcome));
-      });
+  execution.http =
+      http_->Send(backend_->endpoint, MakeHttpRequest(ticket, execution),
+                  execution.deadline + kDeadlineGrace,
+                  [this, ticket, alive = alive_](HttpOutcome outcome) {
+                    if (*alive)
+                      OnOutcome(ticket, std::move(outcome));
+                  });
   // The body is needed no more; only the identity of the call is.
   execution.request.body.clear();
 }
@@ -417,10 +418,11 @@
   request.target = call.path;
   request.headers = call.headers;
   const state::WallTime deadline = WallNow() + (execution.deadline - Now());
-  request.headers.push_back({std::string(protocol::kDeadlineField),
-                             std::to_string(deadline.time_since_epoch().count())});
-  request.headers.push_back({std::string(protocol::kRequestIdField),
-                             state::ToHex(call.request_id)});
+  request.headers.push_back(
+      {std::string(protocol::kDeadlineField),
+       std::to_string(deadline.time_since_epoch().count())});
+  request.headers.push_back(
+      {std::string(protocol::kRequestIdField), state::ToHex(call.request_id)});
   request.headers.push_back(
       {std::string(protocol::kBaggageField), protocol::FormatTicket(ticket)});
   request.body = call.body;
@@ -461,19 +463,19 @@
 void LocalExecutor::Refuse(Ticket ticket,
                            ResultCode code,
                            state::Duration retry_after) {
-  boost::asio::post(context_, [this, ticket, code, retry_after,
-                               alive = alive_] {
-    if (!*alive)
-      return;
-    const auto found = executions_.find(ticket);
-    if (found == executions_.end())
-      return;
-    protocol::CallAnswer answer = FailedAnswer(
-        found->second.request, code, RunState::kNotRun,
-        std::string(state::InfoOf(code).title));
-    answer.retry_after = retry_after;
-    Finish(ticket, std::move(answer));
-  });
+  boost::asio::post(
+      context_, [this, ticket, code, retry_after, alive = alive_] {
+        if (!*alive)
+          return;
+        const auto found = executions_.find(ticket);
+        if (found == executions_.end())
+          return;
+        protocol::CallAnswer answer =
+            FailedAnswer(found->second.request, code, RunState::kNotRun,
+                         std::string(state::InfoOf(code).title));
+        answer.retry_after = retry_after;
+        Finish(ticket, std::move(answer));
+      });
 }
 
 void LocalExecutor::FinishLater(Ticket ticket,
--- a/lib/transport/metrics.cc
+++ b/lib/transport/metrics.cc
@@ -140,9 +140,9 @@
                                       state::ResultCode result) {
     prometheus::Counter*& counter = counters[{service, result}];
     if (!counter)
-      counter = &family.Add(
-          {{"service", service},
-           {"result", std::to_string(static_cast<int>(result))}});
+      counter =
+          &family.Add({{"service", service},
+                       {"result", std::to_string(static_cast<int>(result))}});
     return *counter;
   }
 
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -78,8 +78,8 @@
   if (session.waiting_calls.size() >= kMaxWaitingPerNode) {
     boost::asio::post(context_, [this, handle, alive = alive_] {
       if (*alive)
-        FailCall(handle, state::ResultCode::kNodeBusy,
-                 state::RunState::kNotRun, "too many calls wait for the link");
+        FailCall(handle, state::ResultCode::kNodeBusy, state::RunState::kNotRun,
+                 "too many calls wait for the link");
     });
     return handle;
   }
@@ -348,7 +348,8 @@
   PendingCall& call = found->second;
   if (!call.link) {
     FailCall(handle, state::ResultCode::kDeadlineBeforeStart,
-             state::RunState::kNotRun, "the deadline passed before a link opened");
+             state::RunState::kNotRun,
+             "the deadline passed before a link opened");
     return;
   }
   call.link->Send(protocol::Cancel{handle});
--- a/lib/transport/request_handler.cc
+++ b/lib/transport/request_handler.cc
@@ -188,8 +188,7 @@
     if (!protocol::IsHopByHop(header.name))
       request.call.headers.push_back(header);
   }
-  const std::string_view credentials =
-      FieldOf(http.headers, "Authorization");
+  const std::string_view credentials = FieldOf(http.headers, "Authorization");
   if (!credentials.empty())
     request.call.caller_identity = state::HashOf(credentials);
   request.exchange = std::move(exchange);
@@ -231,34 +230,34 @@
     return;
   }
   const std::uint32_t count = KeyCount(rest);
-  dispatcher_.WhenServersKnown(service, [this, exchange, service, count,
-                                         alive = alive_] {
-    if (!*alive)
-      return;
-    std::string keys;
-    for (std::uint32_t i = 0; i < count; ++i) {
-      const auto executor = dispatcher_.ChooseExecutor(service);
-      if (!executor) {
-        RespondProblem(exchange, ResultCode::kNoBackendServer,
-                       RunState::kNotRun, "no backend server is known", {},
-                       coordination::JitteredRetryAfter(
-                           coordination::kEntryDrainTime, random_));
-        return;
-      }
-      coordination::KeyBinding key;
-      key.executor = *executor;
-      key.issued_ms = coordination::WallMilliseconds(
-          std::chrono::time_point_cast<state::Duration>(
-              std::chrono::system_clock::now()));
-      key.random = random_();
-      keys += fmt::format("{}\"{}\"", keys.empty() ? "" : ",",
-                          coordination::FormatKey(key));
-    }
-    HttpResponse response;
-    response.headers = {{"Content-Type", "application/json"}};
-    response.body = fmt::format("{{\"keys\":[{}]}}", keys);
-    exchange->Respond(std::move(response));
-  });
+  dispatcher_.WhenServersKnown(
+      service, [this, exchange, service, count, alive = alive_] {
+        if (!*alive)
+          return;
+        std::string keys;
+        for (std::uint32_t i = 0; i < count; ++i) {
+          const auto executor = dispatcher_.ChooseExecutor(service);
+          if (!executor) {
+            RespondProblem(exchange, ResultCode::kNoBackendServer,
+                           RunState::kNotRun, "no backend server is known", {},
+                           coordination::JitteredRetryAfter(
+                               coordination::kEntryDrainTime, random_));
+            return;
+          }
+          coordination::KeyBinding key;
+          key.executor = *executor;
+          key.issued_ms = coordination::WallMilliseconds(
+              std::chrono::time_point_cast<state::Duration>(
+                  std::chrono::system_clock::now()));
+          key.random = random_();
+          keys += fmt::format("{}\"{}\"", keys.empty() ? "" : ",",
+                              coordination::FormatKey(key));
+        }
+        HttpResponse response;
+        response.headers = {{"Content-Type", "application/json"}};
+        response.body = fmt::format("{{\"keys\":[{}]}}", keys);
+        exchange->Respond(std::move(response));
+      });
 }
 
 bool RequestHandler::AdmitAtEntry(Request& request) {
@@ -358,9 +357,9 @@
   Request& request = found->second;
   const auto executor = dispatcher_.ChooseExecutor(request.call.service);
   if (!executor) {
-    OnAnswer(key, FailedAnswer(request.call, ResultCode::kNoBackendServer,
-                               RunState::kUnknown,
-                               "no backend server is known"));
+    OnAnswer(key,
+             FailedAnswer(request.call, ResultCode::kNoBackendServer,
+                          RunState::kUnknown, "no backend server is known"));
     return;
   }
   coordination::Claim claim;
@@ -426,12 +425,12 @@
   order.request = request.call;
   order.deadline = request.context.deadline;
   order.target = target;
-  order.ledger =
-      request.from_caller ? &entries_.ledger() : &executor_.ledger();
+  order.ledger = request.from_caller ? &entries_.ledger() : &executor_.ledger();
   order.ticket = request.ticket;
   request.call.body.clear();
   request.dispatch = dispatcher_.Dispatch(
-      std::move(order), [this, key, alive = alive_](protocol::CallAnswer answer) {
+      std::move(order),
+      [this, key, alive = alive_](protocol::CallAnswer answer) {
         if (*alive)
           OnAnswer(key, std::move(answer));
       });
@@ -477,9 +476,8 @@
   HttpResponse response;
   response.status = answer.http_status;
   response.headers = answer.headers;
-  response.headers.push_back(
-      {std::string(protocol::kResultField),
-       std::to_string(static_cast<int>(answer.result))});
+  response.headers.push_back({std::string(protocol::kResultField),
+                              std::to_string(static_cast<int>(answer.result))});
   response.headers.push_back({std::string(protocol::kRequestIdField),
                               state::ToHex(request.context.id)});
   response.body = answer.body;
@@ -510,18 +508,17 @@
   const bool answered = state::IsAnswered(answer.result);
   if (answered && latency < kSlowRequest)
     return;
-  log_.Write(Duty::kData, answered ? LogLevel::kInfo : LogLevel::kWarning,
-             answered ? "slow_request" : "request_failed",
-             {{"request_id", state::ToHex(request.context.id)},
-              {"service", request.call.service},
-              {"result", std::to_string(static_cast<int>(answer.result))},
-              {"run_state", std::string(state::ToString(answer.run_state))},
-              {"importance",
-               std::string(state::ToString(request.context.importance))},
-              {"latency_us", std::to_string(latency.count())},
-              {"configuration_version",
-               std::to_string(configuration_->version())},
-              {"detail", answer.detail}});
+  log_.Write(
+      Duty::kData, answered ? LogLevel::kInfo : LogLevel::kWarning,
+      answered ? "slow_request" : "request_failed",
+      {{"request_id", state::ToHex(request.context.id)},
+       {"service", request.call.service},
+       {"result", std::to_string(static_cast<int>(answer.result))},
+       {"run_state", std::string(state::ToString(answer.run_state))},
+       {"importance", std::string(state::ToString(request.context.importance))},
+       {"latency_us", std::to_string(latency.count())},
+       {"configuration_version", std::to_string(configuration_->version())},
+       {"detail", answer.detail}});
 }
 
 void RequestHandler::Tick() {
