--- a/bench/harness/cluster.cc
+++ b/bench/harness/cluster.cc
@@ -202,7 +202,8 @@
             continue;
           const HttpResult status = Get(host.ports.operators, "/v1/status");
           if (status.status != 200 ||
-              CountOf(status.body, "\"backend_state\":\"serving\",\"liveness\"") <
+              CountOf(status.body,
+                      "\"backend_state\":\"serving\",\"liveness\"") <
                   backend_servers)
             return false;
         }
--- a/bench/harness/http.cc
+++ b/bench/harness/http.cc
@@ -1,5 +1,6 @@
 /// \file
-/// A blocking HTTP client for the test bench, on the product's asynchronous one.
+/// A blocking HTTP client for the test bench, on the product's asynchronous
+/// one.
 #include "harness/http.h"
 
 #include <boost/asio/io_context.hpp>
--- a/bench/harness/process.cc
+++ b/bench/harness/process.cc
@@ -111,8 +111,8 @@
     int status = 0;
     if (waitpid(pid_, &status, WNOHANG) == pid_) {
       ended_ = true;
-      exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status)
-                                     : 128 + WTERMSIG(status);
+      exit_code_ =
+          WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
       break;
     }
     if (Clock::now() >= until)
--- a/unittests/transport/peer_calls_test.cc
+++ b/unittests/transport/peer_calls_test.cc
@@ -168,10 +168,9 @@
 // their deadline: nothing was sent, so that another server can be tried.
 TEST_F(PeerCallsTest, PausedNodeIsNotRun) {
   std::vector<std::shared_ptr<PeerLink>> held;
-  PeerListener silent(context_, {"127.0.0.1", 0},
-                      [&](std::shared_ptr<PeerLink> link) {
-                        held.push_back(std::move(link));
-                      });
+  PeerListener silent(
+      context_, {"127.0.0.1", 0},
+      [&](std::shared_ptr<PeerLink> link) { held.push_back(std::move(link)); });
   std::optional<protocol::CallAnswer> answer;
   const state::Instant start = Now();
   outbound_.Call(8, {"127.0.0.1", silent.port()}, MakeRequest("/"),
