--- a/include/sesamespread/coordination/retry_budget.h
+++ b/include/sesamespread/coordination/retry_budget.h
@@ -7,7 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <functional>
 #include <optional>
 #include <queue>
 #include <random>
@@ -68,6 +68,9 @@
                  state::Instant expires,
                  state::Instant now);
 
+  /// Keeps the entry at least until \p expires. Ignored for an unknown ticket.
+  void Extend(Ticket ticket, state::Instant expires);
+
   /// The context that sub-calls inherit; nullptr for an unknown ticket. Valid
   /// until the next call of a non-const member.
   const state::RequestContext* FindContext(Ticket ticket) const;
@@ -148,9 +151,9 @@
 class EntryTable {
  public:
   struct Options {
-    /// Requests remembered at a time: 2,184 a second over the window.
+    /// Requests remembered at a time: about 2,000 a second over the window.
     std::size_t max_entries = 65536;
-    /// How long after its last repeat a request is remembered.
+    /// How long a request is remembered after its deadline or last repeat.
     state::Duration window = std::chrono::seconds(30);
   };
 
@@ -194,17 +197,12 @@
   std::size_t size() const { return ledger_.size(); }
 
  private:
-  struct Known {
-    Ticket ticket = 0;
-    state::Instant last_seen{};
-  };
-
+  // The ticket of a request with repeat key is the key with its lowest bit
+  // cleared; tickets of other requests are odd. So the ledger is the only
+  // table.
   Options options_;
-  Ticket next_ticket_ = 1;
+  Ticket next_unkeyed_ = 1;
   RequestLedger ledger_;
-  std::unordered_map<std::uint64_t, Known> known_;
-  std::unordered_map<Ticket, bool> unkeyed_;
-  std::deque<std::pair<state::Instant, std::uint64_t>> order_;
 };
 
 /// Bound on the share of retries at a node. In a surge, retries only add load.
