--- a/include/sesamespread/coordination/idempotency.h
+++ b/include/sesamespread/coordination/idempotency.h
@@ -47,7 +47,9 @@
 std::optional<KeyBinding> ParseKey(std::string_view text);
 
 /// True if \p text claims to be a system-issued key; if ParseKey refuses it,
-/// the result is kMalformedKey. Callers can't make up such keys.
+/// the result is kMalformedKey. A caller that makes up such a key gains
+/// nothing: it runs at most once too, and the fingerprint keeps it from another
+/// caller's answer.
 bool HasKeyPrefix(std::string_view text);
 
 /// Milliseconds since 1970 of \p time; 0 for times before.
@@ -107,9 +109,9 @@
     state::Duration max_skew = std::chrono::minutes(2);
   };
 
-  /// Bytes counted for an entry without answer; see docs/notes/at-most-once.md
-  /// for the measured figure.
-  static constexpr std::size_t kEntryBytes = 256;
+  /// Bytes counted for an entry and an answer without header fields and body;
+  /// docs/notes/at-most-once.md has the measured figure.
+  static constexpr std::size_t kEntryBytes = 384;
 
   enum class Verdict : std::uint8_t {
     /// Execute it now. Ends with Complete, Abandon or MarkUnknown.
