Add group-committed claims of callers' own keys

Claims of one linger time, and those that arrive during a write, share one transaction of rows inserted if absent. A lost reply is read back; absent rows are inserted again, which can't overwrite a write that takes effect late.

--- a/include/sesamespread/coordination/claims.h
+++ b/include/sesamespread/coordination/claims.h
@@ -10,9 +10,11 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "sesamespread/coordination/idempotency.h"
@@ -134,8 +136,10 @@
     std::size_t max_waiters = 4096;
     /// A transaction without reply for this long counts as lost.
     state::Duration batch_timeout = std::chrono::milliseconds(500);
-    /// Wait before a failed read back is repeated.
-    state::Duration read_retry = std::chrono::milliseconds(50);
+    /// Lost transactions after which a row's waiters get kUnavailable. They are
+    /// not held until their deadline; the read back of one more try covers a
+    /// single lost reply.
+    std::uint32_t max_lost = 2;
   };
 
   ClaimCommitter();
@@ -181,6 +185,7 @@
   struct Row {
     ClaimRow wanted;
     Phase phase = Phase::kPending;
+    std::uint32_t lost = 0;
     std::vector<std::uint64_t> waiters;
   };
   struct InFlight {
@@ -192,28 +197,31 @@
     state::Instant not_before{};
   };
 
-  std::optional<ClaimTableRequest> Send(ClaimTableRequest::Kind kind,
-                                        std::deque<Queued>& queue,
-                                        state::Instant now);
   bool IsDue(const std::deque<Queued>& queue, state::Instant now) const;
-  void Resolve(const std::string& key,
-               const ClaimRow& row,
-               std::vector<ClaimResolution>* out);
+  ClaimTableRequest Send(ClaimTableRequest::Kind kind,
+                         std::deque<Queued>& queue,
+                         state::Instant now);
+  std::deque<Queued>* QueueOf(Phase phase);
+  void EraseRow(const std::string& key);
+  void Enqueue(const std::string& key,
+               Row& row,
+               Phase phase,
+               state::Instant not_before);
+  void RemoveWaiter(std::uint64_t waiter);
+  void Resolve(const ClaimRow& row, std::vector<ClaimResolution>* out);
   void Fail(const std::string& key, std::vector<ClaimResolution>* out);
-  void Requeue(const std::string& key, Phase phase, state::Instant not_before);
-  void Remove(std::uint64_t waiter);
+  void OnLost(const std::string& key,
+              state::Instant now,
+              std::vector<ClaimResolution>* out);
   void OnDone(const ClaimTableRequest& request,
               const ClaimTableReply& reply,
               state::Instant now,
               std::vector<ClaimResolution>* out);
-  void OnNotDone(const ClaimTableRequest& request,
-                 ClaimTableReply::Status status,
-                 state::Instant now,
-                 std::vector<ClaimResolution>* out);
 
   Options options_;
   std::uint64_t next_id_ = 1;
   std::unordered_map<std::uint64_t, Waiter> waiters_;
+  std::set<std::pair<state::Instant, std::uint64_t>> deadlines_;
   std::map<std::string, Row> rows_;
   std::deque<Queued> pending_;
   std::deque<Queued> unresolved_;
