--- a/include/sesamespread/coordination/routing.h
+++ b/include/sesamespread/coordination/routing.h
@@ -45,9 +45,11 @@
 
 /// Constants of routing. The defaults suit latencies from 1 ms to 1 s.
 struct RouterOptions {
-  /// Time constant of the latency average, and of its return to the service's
-  /// median while a server gets no calls. Without the return a server that was
-  /// slow once would never be measured again.
+  /// Share of one answer in the latency average.
+  double latency_gain = 0.2;
+  /// Time constant with which the average returns to the service's median while
+  /// a server gets no calls. Without the return a server that was slow once
+  /// would never be measured again.
   state::Duration latency_decay = std::chrono::seconds(10);
   /// Share of one outcome in the refusal and failure rates.
   double rate_gain = 0.1;
@@ -76,6 +78,12 @@
   state::Duration recent_success = std::chrono::seconds(5);
   /// Failures in a row that eject a server.
   std::uint32_t ejection_failures = 5;
+  /// Failures closer together than this count once towards ejection: a lost
+  /// link fails all calls on it at the same moment.
+  state::Duration failure_spacing = std::chrono::milliseconds(20);
+  /// No ejection for failures while the median failure rate of the other
+  /// servers is at least this: the service fails everywhere.
+  double failing_everywhere = 0.3;
   /// Latency, in medians of the other servers, that ejects a server, and the
   /// number of answers it must be based on.
   double ejection_latency_ratio = 6;
@@ -132,8 +140,8 @@
 /// What routing knows of a server, for `explain` and metrics.
 struct ServerView {
   state::NodeId node = 0;
-  std::string name;
-  std::string zone;
+  /// 0 local zone, 1 same region, 2 elsewhere.
+  std::uint8_t distance = 2;
   state::BackendState backend_state = state::BackendState::kAbsent;
   state::Liveness liveness = state::Liveness::kAlive;
   std::uint32_t in_flight = 0;
@@ -194,25 +202,36 @@
                                state::Instant now) const;
 
  private:
-  /// Measurements of a server.
+  struct ServiceEntry;
+
+  /// Measurements of a server. Holds no strings: a node may route to thousands.
   struct Server {
-    state::NodeRecord record;
+    state::NodeId node = 0;
+    state::Incarnation incarnation = 0;
+    std::uint32_t sequence = 0;
+    state::BackendState backend_state = state::BackendState::kAbsent;
+    state::Liveness liveness = state::Liveness::kAlive;
+    std::uint8_t distance = 2;
+    const ServiceEntry* service = nullptr;
     std::uint32_t in_flight = 0;
+    /// Answers in the latency average.
     std::uint32_t answers = 0;
     double latency_us = 0;
     double refusal_rate = 0;
     double failure_rate = 0;
+    /// Time of the last change of the rates and of the latency.
+    state::Instant rated{};
+    state::Instant measured{};
     std::uint32_t failures_in_a_row = 0;
+    std::optional<state::Instant> last_failure;
+    std::optional<state::Instant> last_answer;
     std::uint32_t ejections = 0;
-    std::uint32_t connect_failures = 0;
-    /// Set when a server that was out is called to probe it.
-    bool probing = false;
-    state::Instant probe_sent{};
-    state::Instant updated{};
-    state::Instant starting_since{};
     state::Instant ejected_until{};
+    std::uint32_t connect_failures = 0;
     state::Instant unreachable_until{};
-    std::optional<state::Instant> last_success;
+    /// Set while a call probes a server that was unreachable.
+    std::optional<state::Instant> probe_sent;
+    state::Instant starting_since{};
     LoadHint hint;
     std::optional<state::Instant> hint_at;
   };
@@ -232,42 +251,43 @@
     kNever = 4,
   };
 
-  struct Candidate {
-    Server* server;
-    /// 0 local zone, 1 same region, 2 elsewhere.
-    std::uint8_t distance;
-    double cost;
-  };
-
   Server* Find(state::NodeId node);
-  void DropUnlisted();
+  std::vector<const Server*> ServersOf(const ServiceEntry& service) const;
+  void UpdateServer(const state::NodeRecord& record,
+                    const ServiceEntry* service,
+                    state::Instant now);
+  std::uint8_t DistanceOf(const std::string& zone) const;
   Group GroupOf(const Server& server, state::Instant now) const;
-  bool RecentlySucceeded(const Server& server, state::Instant now) const;
+  bool IsDead(const Server& server, state::Instant now) const;
+  bool AnsweredRecently(const Server& server, state::Instant now) const;
   double WeightOf(const Server& server, state::Instant now) const;
   double LatencyOf(const Server& server,
                    double median_us,
                    state::Instant now) const;
-  double DecayedRate(double rate,
-                     const Server& server,
-                     state::Instant now) const;
+  /// \p rate of \p server with its decay since the last outcome.
+  double Decayed(double rate, const Server& server, state::Instant now) const;
   double CostOf(const Server& server,
                 double median_us,
                 state::Instant now) const;
-  /// Share of calls that a server passes on: 0 with room, 1 without.
+  /// Share of calls to pass to other zones: 0 with room, 1 without.
   double PressureOf(const Server& server,
                     double median_us,
                     state::Instant now) const;
-  std::uint8_t DistanceOf(const Server& server) const;
   double MedianOf(ServiceEntry& service, state::Instant now);
-  std::vector<Candidate> NarrowToZone(std::vector<Candidate> candidates,
-                                      double median_us,
-                                      state::Instant now,
-                                      std::mt19937_64& rng) const;
-  void DecayRates(Server& server, state::Instant now);
-  void CountSuccess(Server& server,
+  std::vector<Server*> BestGroup(const ServiceEntry& service,
+                                 state::Instant now,
+                                 std::span<const state::NodeId> exclude,
+                                 Group* group);
+  std::vector<Server*> NarrowToZone(const std::vector<Server*>& candidates,
+                                    double median_us,
+                                    state::Instant now,
+                                    std::mt19937_64& rng) const;
+  void Rate(Server& server, bool refused, bool failed, state::Instant now);
+  void CountLatency(Server& server,
                     state::Duration latency,
                     state::Instant now);
   void CountFailure(Server& server, state::Instant now);
+  void CountConnectFailure(Server& server, state::Instant now);
   bool MayEject(const Server& server, state::Instant now) const;
   void EjectForFailures(Server& server, state::Instant now);
   void EjectForLatency(Server& server, state::Instant now);
