Make Configuration::Apply parse only what changed

Cause: each delta parsed all entries again, and each version held the services below every service, which with deep call graphs is the largest part of it. Change: versions share the parts that a delta does not touch, the digest is kept up by XOR, and the services below a service are found at the first call and kept until a call changes. Result: the earlier tests pass unchanged; a random test finds 500 applied deltas equal to a full parse. Conclusion: the interface is as before, with one more rule: ServicesBelow may take a lock.

--- a/include/sesamespread/state/configuration.h
+++ b/include/sesamespread/state/configuration.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,8 @@
 };
 
 /// One version of the configuration. Immutable; shared between threads.
+/// Versions that follow from each other by Apply share the parts that did not
+/// change.
 class Configuration {
  public:
   using Entries = std::map<std::string, std::string>;
@@ -55,16 +58,16 @@
   ConfigurationVersion version() const { return version_; }
   /// XOR of the hashes of all entries.
   std::uint64_t digest() const { return digest_; }
-  const Entries& entries() const { return entries_; }
+  const Entries& entries() const { return *entries_; }
 
   const std::map<std::string, Service, std::less<>>& services() const {
-    return services_;
+    return *services_;
   }
   const std::map<std::string, AvailabilityZone, std::less<>>& zones() const {
-    return zones_;
+    return *zones_;
   }
   const std::map<std::string, Rule, std::less<>>& rules() const {
-    return rules_;
+    return *rules_;
   }
   const Limits& limits() const { return limits_; }
 
@@ -79,38 +82,58 @@
                           std::string_view path) const;
 
   /// All services reached by calls from \p service, directly or not, itself
-  /// excluded, in order of name.
+  /// excluded, in order of name. Found at the first call for a service and kept
+  /// until the calls of any service change; safe to call from several threads.
+  /// The reference is valid as long as this configuration.
   const std::vector<std::string>& ServicesBelow(std::string_view service) const;
 
-  /// This configuration with \p delta applied. \throws Error with
-  /// kConfigurationInvalid if the delta starts from another version or the
-  /// digest does not match afterwards.
+  /// This configuration with \p delta applied. Parses only the entries that the
+  /// delta names. \throws Error with kConfigurationInvalid if the delta starts
+  /// from another version, a value can't be read or the digest does not match
+  /// afterwards.
   Configuration Apply(const ConfigurationDelta& delta) const;
 
   /// The changes that lead from this content to \p target's.
   std::vector<EntryChange> DifferenceTo(const Entries& target) const;
 
   bool operator==(const Configuration& other) const {
-    return version_ == other.version_ && entries_ == other.entries_;
+    return version_ == other.version_ && entries() == other.entries();
   }
 
  private:
-  void ParseEntry(const std::string& key, const std::string& value);
+  template <typename Value>
+  using ByName = std::map<std::string, Value, std::less<>>;
+
+  // The services below those that were asked for. All of them would be the
+  // largest part of a configuration: with deep call graphs each service has
+  // hundreds below it.
+  struct BelowCache {
+    std::mutex mutex;
+    ByName<std::vector<std::string>> below;
+  };
+
+  struct Drafts;
+
+  void UpdateIndexes(const Configuration& before, bool limits_changed);
+  void UseLastLimits();
   void IndexRules();
-  void IndexCalls();
+  std::vector<std::string> FindServicesBelow(std::string_view service) const;
 
   ConfigurationVersion version_ = 0;
   // Always equal to the XOR over entries_.
   std::uint64_t digest_ = 0;
-  Entries entries_;
-  std::map<std::string, Service, std::less<>> services_;
-  std::map<std::string, AvailabilityZone, std::less<>> zones_;
-  std::map<std::string, Rule, std::less<>> rules_;
+  // Never null, and never changed once a version is complete.
+  std::shared_ptr<const Entries> entries_ = std::make_shared<Entries>();
+  std::shared_ptr<const ByName<Service>> services_ =
+      std::make_shared<ByName<Service>>();
+  std::shared_ptr<const ByName<AvailabilityZone>> zones_ =
+      std::make_shared<ByName<AvailabilityZone>>();
+  std::shared_ptr<const ByName<Rule>> rules_ = std::make_shared<ByName<Rule>>();
   // Names of the rules of a service in the order in which they are tried.
-  std::map<std::string, std::vector<std::string>, std::less<>>
-      rules_by_service_;
-  // For each service the services below it; see ServicesBelow.
-  std::map<std::string, std::vector<std::string>, std::less<>> below_;
+  std::shared_ptr<const ByName<std::vector<std::string>>> rules_by_service_ =
+      std::make_shared<ByName<std::vector<std::string>>>();
+  // Shared by versions whose services make the same calls.
+  std::shared_ptr<BelowCache> below_ = std::make_shared<BelowCache>();
   Limits limits_;
 };
 
--- a/lib/state/configuration.cc
+++ b/lib/state/configuration.cc
@@ -18,6 +18,9 @@
 constexpr std::string_view kServicePrefix = "service/";
 constexpr std::string_view kRulePrefix = "rule/";
 constexpr std::string_view kLimitPrefix = "limit/";
+// Before it come all keys with kLimitPrefix.
+constexpr std::string_view kAfterLimitPrefix = "limit0";
+static_assert('/' + 1 == '0');
 
 bool StartsWith(std::string_view text, std::string_view prefix) {
   return text.substr(0, prefix.size()) == prefix;
@@ -91,78 +94,176 @@
          rule.methods.end();
 }
 
-}  // namespace
+AvailabilityZone ReadZone(const std::string& name, const YAML::Node& node) {
+  return {name, node["region"].as<std::string>("")};
+}
 
-Configuration::Configuration(ConfigurationVersion version, Entries entries)
-    : version_(version), entries_(std::move(entries)) {
-  for (const auto& [key, value] : entries_) {
-    digest_ ^= EntryHash(key, value);
-    try {
-      ParseEntry(key, value);
-    } catch (const YAML::Exception& error) {
-      ThrowInvalid(fmt::format("entry {}: {}", key, error.what()));
+// Copies a part of the configuration at its first change.
+template <typename Map>
+class Draft {
+ public:
+  explicit Draft(std::shared_ptr<const Map>* part) : part_(part) {}
+
+  Map& map() {
+    if (!copy_) {
+      copy_ = std::make_shared<Map>(**part_);
+      *part_ = copy_;
     }
+    return *copy_;
   }
-  IndexRules();
-  IndexCalls();
+
+ private:
+  std::shared_ptr<const Map>* part_;
+  std::shared_ptr<Map> copy_;
+};
+
+bool SameCalls(const std::map<std::string, Service, std::less<>>& a,
+               const std::map<std::string, Service, std::less<>>& b) {
+  return &a == &b ||
+         std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const auto& left, const auto& right) {
+                      return left.first == right.first &&
+                             left.second.calls == right.second.calls;
+                    });
 }
 
-void Configuration::ParseEntry(const std::string& key,
-                               const std::string& value) {
-  const YAML::Node node = YAML::Load(value);
+// Parses \p value with \p read into \p part, or removes the name without one.
+template <typename Map, typename Read>
+void ReadInto(Draft<Map>* part,
+              std::string_view key,
+              std::size_t prefix_length,
+              const std::string* value,
+              Read read) {
+  std::string name(key.substr(prefix_length));
+  if (!value) {
+    part->map().erase(name);
+    return;
+  }
+  try {
+    auto parsed = read(name, YAML::Load(*value));
+    part->map().insert_or_assign(std::move(name), std::move(parsed));
+  } catch (const YAML::Exception& error) {
+    ThrowInvalid(fmt::format("entry {}: {}", key, error.what()));
+  }
+}
+
+Limits ReadLimits(std::string_view key, const std::string& value) {
+  const Limits defaults;
+  Limits limits;
+  try {
+    const YAML::Node node = YAML::Load(value);
+    limits.retry_allotment =
+        node["retry_allotment"].as<std::uint32_t>(defaults.retry_allotment);
+    limits.repeat_window =
+        ReadDuration(node["repeat_window"], defaults.repeat_window);
+    limits.max_request_bytes =
+        node["max_request_bytes"].as<std::uint64_t>(defaults.max_request_bytes);
+    limits.max_answer_bytes =
+        node["max_answer_bytes"].as<std::uint64_t>(defaults.max_answer_bytes);
+  } catch (const YAML::Exception& error) {
+    ThrowInvalid(fmt::format("entry {}: {}", key, error.what()));
+  }
+  return limits;
+}
+
+}  // namespace
+
+// The parts of a version under construction.
+struct Configuration::Drafts {
+  explicit Drafts(Configuration* next)
+      : services(&next->services_),
+        zones(&next->zones_),
+        rules(&next->rules_) {}
+
+  // Reads the new value of an entry, or removes it without one.
+  void Read(const std::string& key, const std::string* value);
+
+  Draft<ByName<Service>> services;
+  Draft<ByName<AvailabilityZone>> zones;
+  Draft<ByName<Rule>> rules;
+  bool limits_changed = false;
+};
+
+void Configuration::Drafts::Read(const std::string& key,
+                                 const std::string* value) {
   if (StartsWith(key, kServicePrefix)) {
-    const std::string name = key.substr(kServicePrefix.size());
-    services_.emplace(name, ReadService(name, node));
+    ReadInto(&services, key, kServicePrefix.size(), value, ReadService);
     return;
   }
   if (StartsWith(key, kZonePrefix)) {
-    const std::string name = key.substr(kZonePrefix.size());
-    zones_.emplace(name,
-                   AvailabilityZone{name, node["region"].as<std::string>("")});
+    ReadInto(&zones, key, kZonePrefix.size(), value, ReadZone);
     return;
   }
   if (StartsWith(key, kRulePrefix)) {
-    const std::string name = key.substr(kRulePrefix.size());
-    rules_.emplace(name, ReadRule(name, node));
+    ReadInto(&rules, key, kRulePrefix.size(), value, ReadRule);
     return;
   }
   if (!StartsWith(key, kLimitPrefix))
     ThrowInvalid(fmt::format("entry {}: unknown kind", key));
-  const Limits defaults;
-  limits_.retry_allotment =
-      node["retry_allotment"].as<std::uint32_t>(defaults.retry_allotment);
-  limits_.repeat_window =
-      ReadDuration(node["repeat_window"], defaults.repeat_window);
-  limits_.max_request_bytes =
-      node["max_request_bytes"].as<std::uint64_t>(defaults.max_request_bytes);
-  limits_.max_answer_bytes =
-      node["max_answer_bytes"].as<std::uint64_t>(defaults.max_answer_bytes);
+  limits_changed = true;
+  if (value)
+    ReadLimits(key, *value);
+}
+
+Configuration::Configuration(ConfigurationVersion version, Entries entries)
+    : version_(version),
+      entries_(std::make_shared<Entries>(std::move(entries))) {
+  const Configuration none;
+  Drafts drafts(this);
+  for (const auto& [key, value] : *entries_) {
+    digest_ ^= EntryHash(key, value);
+    drafts.Read(key, &value);
+  }
+  UpdateIndexes(none, drafts.limits_changed);
+}
+
+void Configuration::UpdateIndexes(const Configuration& before,
+                                  bool limits_changed) {
+  if (limits_changed)
+    UseLastLimits();
+  if (rules_ != before.rules_)
+    IndexRules();
+  if (!SameCalls(*before.services_, *services_))
+    below_ = std::make_shared<BelowCache>();
+}
+
+// An entry states all limits, so that the last one in order of name applies.
+void Configuration::UseLastLimits() {
+  auto entry = entries_->lower_bound(std::string(kAfterLimitPrefix));
+  limits_ = Limits();
+  if (entry == entries_->begin())
+    return;
+  --entry;
+  if (StartsWith(entry->first, kLimitPrefix))
+    limits_ = ReadLimits(entry->first, entry->second);
 }
 
 void Configuration::IndexRules() {
-  for (const auto& [name, rule] : rules_)
-    rules_by_service_[rule.service].push_back(name);
+  auto index = std::make_shared<ByName<std::vector<std::string>>>();
+  for (const auto& [name, rule] : *rules_)
+    (*index)[rule.service].push_back(name);
+  rules_by_service_ = std::move(index);
 }
 
-void Configuration::IndexCalls() {
-  for (const auto& [name, service] : services_) {
-    std::set<std::string> reached;
-    std::vector<std::string> open = service.calls;
-    while (!open.empty()) {
-      const std::string next = std::move(open.back());
-      open.pop_back();
-      if (next == name || !reached.insert(next).second)
-        continue;
-      if (const Service* below = FindService(next))
-        open.insert(open.end(), below->calls.begin(), below->calls.end());
-    }
-    below_[name] = {reached.begin(), reached.end()};
+std::vector<std::string> Configuration::FindServicesBelow(
+    std::string_view service) const {
+  std::set<std::string> reached;
+  const Service* top = FindService(service);
+  std::vector<std::string> open = top ? top->calls : std::vector<std::string>();
+  while (!open.empty()) {
+    const std::string next = std::move(open.back());
+    open.pop_back();
+    if (next == service || !reached.insert(next).second)
+      continue;
+    if (const Service* below = FindService(next))
+      open.insert(open.end(), below->calls.begin(), below->calls.end());
   }
+  return {reached.begin(), reached.end()};
 }
 
 const Service* Configuration::FindService(std::string_view name) const {
-  const auto found = services_.find(name);
-  return found == services_.end() ? nullptr : &found->second;
+  const auto found = services_->find(name);
+  return found == services_->end() ? nullptr : &found->second;
 }
 
 Classification Configuration::Classify(std::string_view service,
@@ -172,11 +273,11 @@
   result.repeatable = method == "GET" || method == "HEAD";
   if (const Service* found = FindService(service))
     result.answer_within = found->answer_within;
-  const auto names = rules_by_service_.find(service);
-  if (names == rules_by_service_.end())
+  const auto names = rules_by_service_->find(service);
+  if (names == rules_by_service_->end())
     return result;
   for (const std::string& name : names->second) {
-    const Rule& rule = rules_.find(name)->second;
+    const Rule& rule = rules_->find(name)->second;
     if (!Matches(rule, method, path))
       continue;
     result.importance = rule.importance;
@@ -192,39 +293,57 @@
 const std::vector<std::string>& Configuration::ServicesBelow(
     std::string_view service) const {
   static const std::vector<std::string> kNone;
-  const auto found = below_.find(service);
-  return found == below_.end() ? kNone : found->second;
+  const std::lock_guard lock(below_->mutex);
+  const auto found = below_->below.find(service);
+  if (found != below_->below.end())
+    return found->second;
+  // Names that are no services are not kept, so that callers can't fill it.
+  if (!FindService(service))
+    return kNone;
+  return below_->below.emplace(service, FindServicesBelow(service))
+      .first->second;
 }
 
 Configuration Configuration::Apply(const ConfigurationDelta& delta) const {
   if (delta.from != version_)
     ThrowInvalid(fmt::format("the delta starts from version {}, not from {}",
                              delta.from, version_));
-  Entries entries = entries_;
+  Configuration next = *this;
+  next.version_ = delta.to;
+  Draft entries(&next.entries_);
+  Drafts drafts(&next);
   for (const EntryChange& change : delta.changes) {
-    if (change.value)
-      entries[change.key] = *change.value;
-    else
-      entries.erase(change.key);
+    const std::string& key = change.key;
+    drafts.Read(key, change.value ? &*change.value : nullptr);
+    Entries& map = entries.map();
+    const auto found = map.find(key);
+    if (found != map.end())
+      next.digest_ ^= EntryHash(key, found->second);
+    if (change.value) {
+      next.digest_ ^= EntryHash(key, *change.value);
+      map.insert_or_assign(key, *change.value);
+    } else if (found != map.end()) {
+      map.erase(found);
+    }
   }
-  Configuration next(delta.to, std::move(entries));
-  if (next.digest() != delta.digest)
+  if (next.digest_ != delta.digest)
     ThrowInvalid(fmt::format("digest {} after the delta to version {}, not {}",
-                             ToHex(next.digest()), delta.to,
+                             ToHex(next.digest_), delta.to,
                              ToHex(delta.digest)));
+  next.UpdateIndexes(*this, drafts.limits_changed);
   return next;
 }
 
 std::vector<EntryChange> Configuration::DifferenceTo(
     const Entries& target) const {
   std::vector<EntryChange> changes;
-  for (const auto& [key, value] : entries_) {
+  for (const auto& [key, value] : *entries_) {
     if (target.find(key) == target.end())
       changes.push_back({key, std::nullopt});
   }
   for (const auto& [key, value] : target) {
-    const auto found = entries_.find(key);
-    if (found == entries_.end() || found->second != value)
+    const auto found = entries_->find(key);
+    if (found == entries_->end() || found->second != value)
       changes.push_back({key, value});
   }
   std::sort(changes.begin(), changes.end());
--- a/unittests/state/configuration_test.cc
+++ b/unittests/state/configuration_test.cc
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "sesamespread/state/result_code.h"
 
 namespace sesamespread::state {
@@ -52,6 +54,66 @@
   EXPECT_THROW(configuration.Apply(delta), Error);
 }
 
+// Guards against parts that are shared between versions and not kept up to
+// date, and against a change of the version that a delta starts from.
+TEST(ConfigurationTest, AppliedDeltasEqualAFullParse) {
+  std::mt19937_64 random(9);
+  const auto name = [&random] { return "s" + std::to_string(random() % 6); };
+  Configuration configuration;
+  for (ConfigurationVersion version = 1; version <= 500; ++version) {
+    Configuration::Entries target = configuration.entries();
+    for (int changes = 0; changes < 2; ++changes) {
+      Service service{name(), 1, 2, std::chrono::seconds(1), {name()}};
+      Rule rule;
+      rule.name = "r" + std::to_string(random() % 6);
+      rule.service = name();
+      rule.importance = static_cast<Importance>(random() % 3);
+      Limits limits;
+      limits.retry_allotment = static_cast<std::uint32_t>(random() % 9);
+      const AvailabilityZone zone{name(), name()};
+      const std::vector<std::pair<std::string, std::string>> candidates = {
+          {"service/" + service.name, CanonicalText(service)},
+          {"rule/" + rule.name, CanonicalText(rule)},
+          {"limit/l" + std::to_string(random() % 2), CanonicalText(limits)},
+          {"zone/" + zone.name, CanonicalText(zone)}};
+      const auto& [key, value] = candidates[random() % candidates.size()];
+      if (random() % 3 == 0)
+        target.erase(key);
+      else
+        target[key] = value;
+    }
+    const Configuration parsed(version, target);
+    const Configuration before = configuration;
+    const ConfigurationDelta delta{version - 1, version, parsed.digest(),
+                                   configuration.DifferenceTo(target)};
+    const Configuration applied = configuration.Apply(delta);
+    ASSERT_EQ(configuration, before);
+    ASSERT_EQ(applied, parsed);
+    ASSERT_EQ(applied.digest(), parsed.digest());
+    ASSERT_EQ(applied.services(), parsed.services());
+    ASSERT_EQ(applied.rules(), parsed.rules());
+    ASSERT_EQ(applied.zones(), parsed.zones());
+    ASSERT_EQ(applied.limits(), parsed.limits());
+    for (int i = 0; i < 6; ++i) {
+      const std::string service = "s" + std::to_string(i);
+      ASSERT_EQ(applied.ServicesBelow(service), parsed.ServicesBelow(service));
+      ASSERT_EQ(applied.Classify(service, "GET", "/"),
+                parsed.Classify(service, "GET", "/"));
+    }
+    configuration = applied;
+  }
+}
+
+// Guards against a delta whose values can't be read taking effect in part.
+TEST(ConfigurationTest, RefusesADeltaThatCannotBeRead) {
+  const Configuration configuration = MakeConfiguration();
+  ConfigurationDelta delta{7, 8, 0, {{"service/orders", "{slots: many}"}}};
+  EXPECT_THROW(configuration.Apply(delta), Error);
+  delta.changes = {{"colour/orders", "{}"}};
+  EXPECT_THROW(configuration.Apply(delta), Error);
+  EXPECT_EQ(configuration, MakeConfiguration());
+}
+
 TEST(ConfigurationTest, DurationsNeedAUnit) {
   EXPECT_EQ(ParseDuration("250ms"), std::chrono::milliseconds(250));
   EXPECT_EQ(ParseDuration("250"), std::nullopt);
