Add membership by gossip and the configuration replica

Cause: nodes did not know of each other and could not spread a configuration. Change: probes with indirect ones through 3 nodes, suspicion with refutation, zone samples that replace single suspicions by one zone record, isolation, pause detection, pushes of urgent updates and a byte budget; pulls of newer versions with backoff, merged deltas, full copies after a wrong digest, and the decision when to read the platform. Conclusion: the decision logic is complete; the runtime has to connect it.

--- a/include/sesamespread/coordination/membership.h
+++ b/include/sesamespread/coordination/membership.h
@@ -4,13 +4,13 @@
 #ifndef SESAMESPREAD_COORDINATION_MEMBERSHIP_H_
 #define SESAMESPREAD_COORDINATION_MEMBERSHIP_H_
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -42,6 +42,8 @@
 /// Limits and timers of Membership.
 struct MembershipOptions {
   state::Duration probe_interval = std::chrono::seconds(1);
+  /// Longest mean time between contacts of a seed.
+  state::Duration max_seed_interval = std::chrono::seconds(8);
   /// Above the round trip between the farthest regions (about 300 ms).
   state::Duration ack_timeout = std::chrono::milliseconds(500);
   std::size_t indirect_probes = 3;
@@ -52,6 +54,10 @@
   /// A dead record is forgotten after this time. It is above the time between
   /// two pulls of all records, so that a stale copy can't revive it.
   state::Duration dead_retention = std::chrono::minutes(90);
+  /// Without a datagram for this long, or without an ack for evidence_time,
+  /// failed probes say nothing of others.
+  state::Duration quiet_time = std::chrono::seconds(2);
+  state::Duration evidence_time = std::chrono::seconds(6);
   /// Nothing heard for this long: isolated.
   state::Duration isolation_time = std::chrono::seconds(5);
   /// A longer time between two calls means that this process was paused.
@@ -59,7 +65,11 @@
   /// Between probes of a node found dead, so that two sides of a healed
   /// partition find each other again.
   state::Duration dead_probe_interval = std::chrono::seconds(5);
-  /// Between pulls of all records, to repair what gossip has missed.
+  /// Mean time until another pull if the table has grown much since the first,
+  /// as when all nodes start together.
+  state::Duration second_pull_after = std::chrono::seconds(5);
+  /// Mean time between further pulls of all records, to repair what gossip has
+  /// missed.
   state::Duration records_pull_interval = std::chrono::hours(1);
   /// An update is sent at most this often per doubling of the member count.
   double transmissions_per_doubling = 3.0;
@@ -67,19 +77,37 @@
   /// at once, twice.
   std::size_t push_fanout = 4;
   state::Duration push_repeat = std::chrono::milliseconds(400);
+  /// Between two pushes, so that updates that arrive together share one.
+  state::Duration push_spacing = std::chrono::milliseconds(100);
   /// Nodes of a zone that are probed when one of them fails.
   std::size_t zone_sample = 8;
   /// A smaller sample says nothing of a zone.
   std::size_t min_zone_sample = 3;
+  /// Nodes of other zones that are probed together with the sample; if none
+  /// answers, the fault is on this side and the sample counts for nothing.
+  std::size_t zone_controls = 3;
   /// No new loss of a zone is reported for this long after its recovery.
   state::Duration zone_hold_down = std::chrono::seconds(15);
+  /// A node looks at its own zone at a random time up to this after others
+  /// reported it lost.
+  state::Duration zone_claim_delay = std::chrono::seconds(2);
   /// Between two checks of a zone by one node.
   state::Duration zone_check_interval = std::chrono::seconds(5);
-  /// Bytes sent and received, headers included. Below the 19 KB/s of a node by
-  /// what configuration pulls need.
-  double bytes_per_second = 17'000;
-  double burst_bytes = 8'000;
+  /// Budget of bytes sent and received, headers included, and of probes and
+  /// acks without updates, which is used when the first is spent, so that load
+  /// does not make a node look dead. On average a node receives as many
+  /// essential bytes as it sends, so that all of it adds up to 19 KB in any
+  /// second and to 13.5 KB/s for longer.
+  double bytes_per_second = 8'500;
+  double burst_bytes = 2'500;
+  double essential_bytes_per_second = 2'500;
+  double essential_burst_bytes = 1'500;
+  /// This many updates that have not been sent at all are a backlog.
+  std::size_t backlog = 12;
   std::size_t max_queued_updates = 512;
+  /// Relayed probes included.
+  std::size_t max_pending = 256;
+  std::size_t max_zones = 1024;
   std::size_t max_members = 60'000;
 };
 
@@ -162,10 +190,15 @@
                std::size_t bytes,
                state::Instant now);
 
-  /// Applies records pulled over TCP. They are not spread further.
+  /// Applies records pulled over TCP. Those of the first pull of a large
+  /// cluster are not spread further, since the others know them. Events should
+  /// be taken after each part, since each new record makes one.
   void ApplyRecords(const std::vector<state::NodeRecord>& records,
                     state::Instant now);
 
+  /// The pull asked for by kPullRecords failed; another node is named soon.
+  void OnRecordsPullFailed(state::Instant now);
+
   /// Changes the own record after the backend server announced itself, started,
   /// serves, leaves or is absent. Leaving is pushed at once.
   void SetBackend(std::string_view service,
@@ -224,24 +257,36 @@
 
   // A datagram that waits for its ack.
   struct Pending {
-    enum class Kind : std::uint8_t { kDirect, kIndirect, kZoneCheck, kRelay };
+    enum class Kind : std::uint8_t {
+      kDirect,
+      kIndirect,
+      // One of the sample of a zone, or one of the controls in other zones.
+      kZoneSample,
+      kZoneControl,
+      // A probe on behalf of `asker`.
+      kRelay,
+    };
     Kind kind = Kind::kDirect;
     state::NodeId node = 0;
     state::Instant sent{};
     state::Instant deadline{};
-    // For kZoneCheck.
+    // Of the check that a sample or control belongs to.
     std::uint16_t zone = 0;
-    // For kRelay: who asked for the probe, and with which token.
+    std::uint64_t check = 0;
     state::Endpoint asker;
     std::uint64_t asker_token = 0;
   };
 
-  // Sample of a zone's nodes, taken after one of them failed or to find out
-  // whether the zone has recovered.
+  // A sample of a zone's nodes, taken after one of them failed, or to find out
+  // whether the own zone has recovered.
   struct ZoneCheck {
-    bool active = false;
+    // 0 if there is none; otherwise its number, so that late acks of an earlier
+    // check are not counted.
+    std::uint64_t number = 0;
     std::uint32_t asked = 0;
     std::uint32_t acked = 0;
+    std::uint32_t controls_acked = 0;
+    // Sampled nodes and controls that have neither acked nor timed out.
     std::uint32_t open = 0;
     // Nodes whose suspicion waits for the result.
     std::vector<state::NodeId> failed;
@@ -250,10 +295,8 @@
   struct ZoneState {
     bool lost = false;
     std::uint32_t sequence = 0;
-    // Times that the zone's record has been sent since it changed; spread_ is
-    // false if there is nothing to send.
-    std::uint32_t transmissions = 0;
-    bool spread = false;
+    // Times that the record may still be sent since it changed.
+    std::uint32_t transmissions_left = 0;
     state::Instant hold_down_until{};
     state::Instant next_check{};
     ZoneCheck check;
@@ -265,12 +308,6 @@
     bool urgent = false;
   };
 
-  // Bytes that may be sent now. Received bytes are taken from it too.
-  struct ByteBudget {
-    double tokens = 0;
-    state::Instant refilled{};
-  };
-
   void NoteTime(state::Instant now);
   void RestartTimers(state::Instant now);
   void ExpirePending(state::Instant now);
@@ -280,24 +317,35 @@
   void ProbeNext(state::Instant now);
   void ProbeDead(state::Instant now);
   void ContactSeeds(state::Instant now);
-  void SendPushes(state::Instant now);
+  void PullRecords(state::Instant now);
   void CheckOwnZone(state::Instant now);
+  void SendPushes(state::Instant now);
+  void RelieveBacklog(state::Instant now);
 
+  void HandleSender(const GossipMessage& message, state::Instant now);
   void HandleAck(const GossipMessage& message, state::Instant now);
-  void HandleFailure(state::NodeId node, state::Instant now);
+  void HandleTimeout(std::uint64_t token, state::Instant now);
+  void HandleFailure(const Pending& pending, state::Instant now);
   void RelayProbe(const GossipMessage& message, state::Instant now);
   void SendIndirectProbes(std::uint64_t token,
                           const Pending& pending,
                           state::Instant now);
+  void AnswerProbe(const GossipMessage& message, state::Instant now);
 
   bool Apply(const state::NodeRecord& record, bool spread, state::Instant now);
+  bool IsNewerThan(const state::NodeRecord& record, Slot slot) const;
   void ApplyToOwn(const state::NodeRecord& record, state::Instant now);
-  void Suspect(Slot slot, state::Instant now);
-  void Bury(Slot slot, state::Instant now);
+  void Suspect(state::NodeId node, state::Instant now);
   void TrackLiveness(Slot slot, state::Instant now);
   void OwnChanged(bool urgent, state::Instant now);
+  void AddToProbeOrder(Slot slot);
 
   void StartZoneCheck(std::uint16_t zone, state::Instant now);
+  void SendZoneProbe(Slot slot,
+                     Pending::Kind kind,
+                     std::uint16_t zone,
+                     state::Instant now);
+  void CloseZoneProbe(const Pending& pending, bool acked, state::Instant now);
   void FinishZoneCheck(std::uint16_t zone, state::Instant now);
   void ApplyZone(const ZoneRecord& record, state::Instant now);
   void SetZone(std::uint16_t zone,
@@ -307,31 +355,52 @@
   void UpdateRegions();
   ZoneState& Zone(std::uint16_t zone);
   bool IsZoneLost(std::uint16_t zone) const;
-
-  std::uint64_t SendProbe(Pending pending,
-                          const state::Endpoint& to,
-                          const state::NodeRecord* first_update,
-                          state::Instant now);
-  // Sends a datagram with as many updates as fit. Essential ones (probes and
-  // acks) may overdraw the budget, without updates, so that load does not make
-  // nodes look dead.
+  ZoneRecord RecordOfZone(std::uint16_t zone) const;
+
+  // Sends a probe and remembers it in pending_. \returns false if it was not
+  // sent.
+  bool SendProbe(Pending pending,
+                 const state::Endpoint& to,
+                 state::Instant now);
+  // Sends a datagram; only_urgent leaves out all but urgent updates. Essential
+  // ones have a budget of their own, without updates.
+  struct SendOptions {
+    bool essential = false;
+    bool only_urgent = false;
+    // Without queued updates.
+    bool bare = false;
+    // Sent before all other updates.
+    std::optional<state::NodeRecord> first_update;
+  };
   bool Send(const state::Endpoint& to,
             GossipMessage message,
-            bool essential,
-            const state::NodeRecord* first_update,
+            const SendOptions& options,
             state::Instant now);
-  void AddUpdates(GossipMessage* message, std::size_t limit);
+  void RefillBudget(state::Instant now);
+  // Add what fits into \p limit bytes; *bytes is the bound of the message.
   void AddZones(GossipMessage* message, std::size_t limit, std::size_t* bytes);
+  void AddUpdates(GossipMessage* message,
+                  bool only_urgent,
+                  std::size_t limit,
+                  std::size_t* bytes);
   GossipMessage MakeMessage(GossipKind kind, std::uint64_t token) const;
-  void Enqueue(state::NodeId node, bool urgent);
-  void RequestPush(state::Instant now);
+  // The record of \p node if it is suspect or dead here, so that it can refute.
+  std::optional<state::NodeRecord> AccusationOf(state::NodeId node) const;
+
+  void Enqueue(state::NodeId node, bool urgent, state::Instant now);
+  bool IsUrgent(const Update& update) const;
+  void RequestPush(bool repeat, state::Instant now);
   std::uint32_t MaxTransmissions() const;
-  state::Duration SuspectTime() const;
+  // A random time below \p span.
+  state::Duration Jitter(state::Duration span);
   double Doublings() const;
+  state::Duration SuspectTime() const;
+  bool HasEvidence(state::Instant now) const;
 
   bool IsLiveSlot(Slot slot) const;
   std::optional<Slot> RandomLiveSlot();
-  std::vector<Slot> SampleZone(std::uint16_t zone, std::size_t count);
+  std::optional<Slot> RandomLiveSlotOutside(std::uint16_t zone);
+  std::vector<Slot> SampleZone(std::uint16_t zone);
   void Emit(MembershipEvent::Kind kind, Slot slot);
   void Emit(MembershipEvent::Kind kind, std::string zone);
 
@@ -339,38 +408,57 @@
   const std::vector<state::Endpoint> seeds_;
   std::mt19937_64 random_;
 
-  // own_ is also in table_, so that it is answered to pulls.
+  // own_ is also in table_, so that it is part of answers to pulls.
   state::NodeRecord own_;
+  std::uint16_t own_zone_ = 0;
   bool departed_ = false;
+  // The newest incarnation reported by kSuperseded.
+  state::Incarnation superseded_by_ = 0;
   NodeTable table_;
+
+  // By zone number; may be shorter than table_.zones().
   std::vector<ZoneState> zones_;
+  std::uint64_t last_check_ = 0;
+  // Sequence of a claim that the own zone is lost, while it is checked.
+  std::optional<std::uint32_t> own_zone_claim_;
   std::map<std::string, std::string, std::less<>> region_of_;
-  std::map<std::string, bool, std::less<>> unreachable_regions_;
+  std::set<std::string, std::less<>> unreachable_regions_;
 
-  // Slots in the order in which they are probed; reshuffled at the end.
+  // Slots in the order in which they are probed; reshuffled at the end. A slot
+  // may have been freed since.
   std::vector<Slot> probe_order_;
   std::size_t probe_position_ = 0;
-  state::Instant next_probe_{};
-  state::Instant next_dead_probe_{};
-  state::Instant next_seed_contact_{};
-  std::optional<state::Instant> next_records_pull_;
   std::unordered_map<std::uint64_t, Pending> pending_;
-
   // Deadlines of suspects, and when dead records are forgotten.
   std::unordered_map<state::NodeId, state::Instant> suspects_;
   std::unordered_map<state::NodeId, state::Instant> dead_;
-
   std::vector<Update> updates_;
-  // Times at which the urgent updates are pushed, at most two.
-  std::vector<state::Instant> pushes_;
 
-  ByteBudget budget_;
+  state::Instant next_probe_{};
+  state::Instant next_dead_probe_{};
+  state::Instant next_seed_contact_{};
+  state::Duration seed_interval_{0};
+  state::Instant next_forget_{};
+  std::optional<state::Instant> next_records_pull_;
+  std::optional<state::Instant> next_push_;
+  std::optional<state::Instant> repeated_push_;
+  state::Instant last_push_{};
+
+  // Bytes that may be sent now. Received bytes are taken from the first, which
+  // is negative after more was received than the budget allows.
+  double tokens_ = 0;
+  double essential_tokens_ = 0;
+  state::Instant refilled_{};
   state::Instant last_call_{};
+  // Of any datagram of another node.
   state::Instant last_heard_{};
-  // When the last ack to a probe of our own arrived; shows that both directions
-  // work.
+  // Of an ack to an own probe, which shows that both directions work.
   state::Instant last_ack_{};
   bool isolated_ = false;
+  // Size after the last pull, and whether further ones repair what was missed.
+  std::size_t pulled_size_ = 0;
+  bool repairs_ = false;
+  // All records have been asked for from a node that had joined.
   bool joined_ = false;
 
   state::ConfigurationVersion configuration_version_ = 0;
--- /dev/null
+++ b/lib/coordination/configuration_replica.cc
@@ -0,0 +1,296 @@
+/// \file
+/// Pulls, deltas and the decision to read the platform.
+#include "sesamespread/coordination/configuration_replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sesamespread/state/result_code.h"
+
+namespace sesamespread::coordination {
+namespace {
+
+using state::ConfigurationDelta;
+using state::ConfigurationVersion;
+using state::Duration;
+using state::Instant;
+
+// Bounds the shift in the exponential backoff.
+constexpr std::uint32_t kMaxDoublings = 10;
+
+// Strings and bookkeeping of one change beside its text.
+constexpr std::size_t kChangeOverhead = 96;
+
+std::size_t BytesOf(const ConfigurationDelta& delta) {
+  std::size_t bytes = sizeof(delta);
+  for (const state::EntryChange& change : delta.changes)
+    bytes += kChangeOverhead + change.key.size() +
+             (change.value ? change.value->size() : 0);
+  return bytes;
+}
+
+Duration Jitter(Duration span, std::mt19937_64* random) {
+  if (span.count() <= 0)
+    return Duration(0);
+  return Duration((*random)() % static_cast<std::uint64_t>(span.count()));
+}
+
+}  // namespace
+
+std::vector<state::NodeId> ReadersOf(
+    std::string_view zone,
+    std::span<const state::NodeId> live_nodes) {
+  const std::uint64_t seed = state::HashOf(zone);
+  std::vector<std::pair<std::uint64_t, state::NodeId>> scores;
+  scores.reserve(live_nodes.size());
+  for (const state::NodeId node : live_nodes)
+    scores.emplace_back(state::HashOf(seed, node), node);
+  const std::size_t count = std::min(kReadersPerZone, scores.size());
+  std::partial_sort(scores.begin(),
+                    scores.begin() + static_cast<std::ptrdiff_t>(count),
+                    scores.end(), std::greater<>());
+  std::vector<state::NodeId> readers;
+  for (std::size_t i = 0; i < count; ++i)
+    readers.push_back(scores[i].second);
+  return readers;
+}
+
+std::vector<state::NodeId> ReadersOf(
+    std::string_view zone,
+    std::span<const state::NodeRecord> records) {
+  std::vector<state::NodeId> live;
+  for (const state::NodeRecord& record : records) {
+    if (record.zone == zone && record.liveness != state::Liveness::kDead &&
+        record.backend_state != state::BackendState::kLeaving)
+      live.push_back(record.node);
+  }
+  return ReadersOf(zone, std::span<const state::NodeId>(live));
+}
+
+ConfigurationReplica::ConfigurationReplica(
+    const ConfigurationReplicaOptions& options,
+    std::mt19937_64 random)
+    : options_(options),
+      random_(random),
+      current_(std::make_shared<state::Configuration>()) {}
+
+std::optional<ConfigurationPullOrder> ConfigurationReplica::OnContact(
+    ConfigurationVersion contact_version,
+    std::uint64_t digest,
+    const state::NodeRecord& from,
+    Instant now) {
+  highest_seen_ = std::max(highest_seen_, contact_version);
+  if (contact_version == version() && digest != current_->digest()) {
+    // Only the platform can tell which of the two is right.
+    diverged_ = true;
+    return std::nullopt;
+  }
+  if (contact_version <= version())
+    return std::nullopt;
+  const auto known = sources_.find(from.node);
+  if (known != sources_.end()) {
+    known->second.version = std::max(known->second.version, contact_version);
+    known->second.peer = from.peer;
+  } else if (sources_.size() < options_.max_sources) {
+    sources_[from.node] = {from.peer, contact_version, 0, now};
+  }
+  return StartPull(now);
+}
+
+std::vector<ConfigurationPullOrder> ConfigurationReplica::Tick(Instant now) {
+  std::vector<state::NodeId> late;
+  for (const auto& [node, pull] : pulls_) {
+    if (pull.deadline <= now)
+      late.push_back(node);
+  }
+  for (const state::NodeId node : late)
+    Fail(node, now);
+  std::vector<ConfigurationPullOrder> orders;
+  while (auto order = StartPull(now))
+    orders.push_back(std::move(*order));
+  return orders;
+}
+
+// Pulls from the best source: the highest version, then the fewest failures.
+// While a pull is in flight, another one is started only for a higher version.
+std::optional<ConfigurationPullOrder> ConfigurationReplica::StartPull(
+    Instant now) {
+  if (pulls_.size() >= options_.max_pulls_in_flight)
+    return std::nullopt;
+  ConfigurationVersion wanted = version();
+  for (const auto& [node, pull] : pulls_)
+    wanted = std::max(wanted, pull.wanted);
+  auto best = sources_.end();
+  for (auto source = sources_.begin(); source != sources_.end(); ++source) {
+    if (source->second.version <= wanted || source->second.not_before > now ||
+        pulls_.count(source->first) > 0)
+      continue;
+    if (best == sources_.end() ||
+        std::pair(source->second.version, best->second.failures) >
+            std::pair(best->second.version, source->second.failures))
+      best = source;
+  }
+  if (best == sources_.end())
+    return std::nullopt;
+  pulls_[best->first] = {now + options_.pull_timeout, best->second.version};
+  return ConfigurationPullOrder{best->first, best->second.peer,
+                                want_full_ ? 0 : version()};
+}
+
+void ConfigurationReplica::OnPullFailed(state::NodeId node, Instant now) {
+  Fail(node, now);
+}
+
+void ConfigurationReplica::Fail(state::NodeId node, Instant now) {
+  pulls_.erase(node);
+  const auto found = sources_.find(node);
+  if (found == sources_.end())
+    return;
+  Source& source = found->second;
+  const std::uint32_t doublings = std::min(source.failures, kMaxDoublings);
+  ++source.failures;
+  const Duration backoff =
+      std::min(options_.max_backoff, options_.min_backoff * (1 << doublings));
+  source.not_before = now + backoff + Jitter(backoff, &random_);
+  // A source that keeps failing gives its place to another one.
+  if (backoff >= options_.max_backoff)
+    sources_.erase(found);
+}
+
+PushResult ConfigurationReplica::OnPush(const ConfigurationDelta& delta,
+                                        bool full,
+                                        state::NodeId from,
+                                        Instant now) {
+  highest_seen_ = std::max(highest_seen_, delta.to);
+  // The same version again replaces only a content that is in doubt, and only
+  // as a full copy from the platform.
+  const bool repairs = diverged_ && full && from == 0 && delta.to == version();
+  if (delta.to <= version() && !repairs) {
+    // An answer that brings nothing although more was promised is a failure.
+    if (pulls_.count(from) > 0)
+      Fail(from, now);
+    return PushResult::kStale;
+  }
+  try {
+    if (full) {
+      Install(state::Configuration().Apply(
+          {0, delta.to, delta.digest, delta.changes}));
+      deltas_.clear();
+      delta_bytes_ = 0;
+    } else if (delta.from == version()) {
+      Install(current_->Apply(delta));
+      Keep(delta);
+    } else {
+      // The version moved on while the pull was in flight, or a part of the
+      // chain is missing.
+      Fail(from, now);
+      want_full_ = delta.from > version();
+      return PushResult::kGap;
+    }
+  } catch (const state::Error&) {
+    want_full_ = true;
+    Fail(from, now);
+    return PushResult::kRejected;
+  }
+  pulls_.erase(from);
+  want_full_ = false;
+  diverged_ = false;
+  const auto source = sources_.find(from);
+  if (source != sources_.end())
+    source->second.failures = 0;
+  DropOldSources();
+  return PushResult::kApplied;
+}
+
+void ConfigurationReplica::Install(state::Configuration next) {
+  current_ = std::make_shared<const state::Configuration>(std::move(next));
+}
+
+void ConfigurationReplica::Keep(const ConfigurationDelta& delta) {
+  deltas_.push_back(delta);
+  delta_bytes_ += BytesOf(delta);
+  while (!deltas_.empty() && (deltas_.size() > options_.max_deltas ||
+                              delta_bytes_ > options_.max_delta_bytes)) {
+    delta_bytes_ -= BytesOf(deltas_.front());
+    deltas_.pop_front();
+  }
+}
+
+void ConfigurationReplica::DropOldSources() {
+  std::erase_if(sources_, [this](const auto& entry) {
+    return entry.second.version <= version();
+  });
+}
+
+std::optional<ConfigurationPullAnswer> ConfigurationReplica::AnswerPull(
+    ConfigurationVersion have_version) const {
+  if (have_version >= version())
+    return std::nullopt;
+  ConfigurationPullAnswer answer;
+  answer.delta.to = version();
+  answer.delta.digest = current_->digest();
+  const auto first = std::find_if(
+      deltas_.begin(), deltas_.end(),
+      [have_version](const auto& delta) { return delta.from == have_version; });
+  if (first == deltas_.end() || have_version == 0) {
+    answer.full = true;
+    for (const auto& [key, value] : current_->entries())
+      answer.delta.changes.push_back({key, value});
+    return answer;
+  }
+  // Only the last change of each entry counts.
+  std::map<std::string_view, const state::EntryChange*> merged;
+  for (auto delta = first; delta != deltas_.end(); ++delta) {
+    for (const state::EntryChange& change : delta->changes)
+      merged[change.key] = &change;
+  }
+  answer.delta.from = have_version;
+  for (const auto& [key, change] : merged)
+    answer.delta.changes.push_back(*change);
+  return answer;
+}
+
+bool ConfigurationReplica::ShouldReadPlatform(bool is_reader,
+                                              bool isolated,
+                                              Instant now) {
+  const bool became_reader = is_reader && !was_reader_;
+  was_reader_ = is_reader;
+  if (!is_reader && !isolated && !diverged_) {
+    next_platform_read_.reset();
+    return false;
+  }
+  const Duration half = options_.isolated_interval / 2;
+  if (!next_platform_read_ || became_reader) {
+    // Nodes that are cut off together don't read together.
+    next_platform_read_ =
+        now + (is_reader ? Jitter(options_.reader_interval, &random_)
+                         : Jitter(options_.isolated_interval, &random_));
+  }
+  if (now < *next_platform_read_)
+    return false;
+  next_platform_read_ =
+      now + (is_reader ? options_.reader_interval
+                       : half + Jitter(options_.isolated_interval, &random_));
+  return true;
+}
+
+std::optional<PlatformReadOrder> ConfigurationReplica::OnPlatformHead(
+    ConfigurationVersion head,
+    std::uint64_t digest) {
+  highest_seen_ = std::max(highest_seen_, head);
+  if (head == version()) {
+    if (digest == current_->digest()) {
+      diverged_ = false;
+      return std::nullopt;
+    }
+    diverged_ = true;
+    return PlatformReadOrder{true, 0, head};
+  }
+  if (head < version())
+    return std::nullopt;
+  if (want_full_ || version() == 0 || head - version() > options_.max_deltas)
+    return PlatformReadOrder{true, 0, head};
+  return PlatformReadOrder{false, version() + 1, head};
+}
+
+}  // namespace sesamespread::coordination
--- /dev/null
+++ b/unittests/coordination/membership_test.cc
@@ -0,0 +1,380 @@
+/// \file
+/// Guards against nodes declared dead without cause, news that does not arrive
+/// in time, and gossip above its byte budget.
+#include "sesamespread/coordination/membership.h"
+
+#include <gtest/gtest.h>
+
+#include "fake_network.h"
+
+namespace sesamespread::coordination {
+namespace {
+
+using state::BackendState;
+using state::Liveness;
+using state::NodeRecord;
+using Kind = MembershipEvent::Kind;
+
+constexpr std::uint64_t kMaxBytesPerSecond = 19'000;
+constexpr auto kNever = -std::chrono::seconds(1);
+
+bool HasEvent(const FakeNetwork::Host& host, Kind kind) {
+  return std::any_of(
+      host.events.begin(), host.events.end(),
+      [kind](const MembershipEvent& event) { return event.kind == kind; });
+}
+
+bool AllLive(FakeNetwork& network) {
+  return network.All([&](Membership& membership) {
+    for (const FakeNetwork::Host& host : network.hosts) {
+      if (host.up && !membership.IsLive(host.membership->own().node))
+        return false;
+    }
+    return true;
+  });
+}
+
+// Guards against a change that is lost on the way or arrives too late.
+TEST(MembershipTest, AChangeReachesAllWithinSeconds) {
+  FakeNetwork network(200, 4);
+  network.loss = 0.02;
+  network.Run(std::chrono::seconds(3));
+  network[7].SetBackend("orders", BackendState::kServing, network.now);
+  const auto time = network.RunUntil(std::chrono::seconds(10), [&] {
+    return network.All([](Membership& membership) {
+      return membership.ServersOf("orders").size() == 1;
+    });
+  });
+  EXPECT_NE(time, kNever);
+}
+
+// Guards against work sent to a leaving backend server after 3 s.
+TEST(MembershipTest, LeavingReachesAllInLessThanThreeSeconds) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    FakeNetwork network(200, 4, true, seed);
+    network.loss = 0.05;
+    network[7].SetBackend("orders", BackendState::kServing, network.now);
+    network.Run(std::chrono::seconds(10));
+    network[7].SetBackend("orders", BackendState::kLeaving, network.now);
+    const auto time = network.RunUntil(std::chrono::seconds(3), [&] {
+      return network.All([&](Membership& membership) {
+        return membership.Find(network[7].own().node)->backend_state ==
+               BackendState::kLeaving;
+      });
+    });
+    EXPECT_NE(time, kNever) << "seed " << seed;
+  }
+}
+
+// Guards against a crashed host that keeps its place, and against other hosts
+// that are suspected along with it.
+TEST(MembershipTest, ACrashedHostIsFoundDeadAndNobodyElse) {
+  FakeNetwork network(64, 4);
+  network.loss = 0.02;
+  network.Run(std::chrono::seconds(3));
+  network.hosts[9].up = false;
+  const state::NodeId crashed = network[9].own().node;
+  const auto time = network.RunUntil(std::chrono::seconds(30), [&] {
+    return network.All(
+        [&](Membership& membership) { return !membership.IsLive(crashed); });
+  });
+  EXPECT_NE(time, kNever);
+  EXPECT_TRUE(AllLive(network));
+}
+
+// Guards against a node that ends in good order and is suspected for it.
+TEST(MembershipTest, ADepartureNeedsNoSuspicion) {
+  FakeNetwork network(64, 4);
+  network.Run(std::chrono::seconds(3));
+  const state::NodeId departed = network[9].own().node;
+  network[9].AnnounceDeparture(network.now);
+  network.Run(std::chrono::seconds(3));
+  network.hosts[9].up = false;
+  EXPECT_TRUE(network.All(
+      [&](Membership& membership) { return !membership.IsLive(departed); }));
+  EXPECT_EQ(network.Sum(&MembershipCounters::suspicions), 0u);
+}
+
+// Guards against a paused node that stays suspect or dead after it resumed.
+TEST(MembershipTest, APausedNodeRefutesTheSuspicion) {
+  FakeNetwork network(64, 4);
+  network.Run(std::chrono::seconds(3));
+  network.hosts[5].paused = true;
+  const state::NodeId paused = network[5].own().node;
+  const auto suspected = network.RunUntil(std::chrono::seconds(10), [&] {
+    return network.Sum(&MembershipCounters::suspicions) > 0;
+  });
+  ASSERT_NE(suspected, kNever);
+  network.Run(std::chrono::seconds(2));
+  network.Resume(5);
+  const auto time = network.RunUntil(std::chrono::seconds(6), [&] {
+    return network.All([&](Membership& membership) {
+      return membership.Find(paused)->liveness == Liveness::kAlive;
+    });
+  });
+  EXPECT_NE(time, kNever);
+  EXPECT_EQ(network.Sum(&MembershipCounters::deaths), 0u);
+  EXPECT_GE(network[5].counters().refutations, 1u);
+}
+
+// Guards against a node that takes its own pause for the silence of others.
+TEST(MembershipTest, ANodePausedForLongDeclaresNobodyDead) {
+  FakeNetwork network(64, 4);
+  network.Run(std::chrono::seconds(3));
+  network.hosts[5].paused = true;
+  network.Run(std::chrono::seconds(60));
+  const state::NodeId paused = network[5].own().node;
+  EXPECT_EQ(network[0].Find(paused)->liveness, Liveness::kDead);
+  network.Resume(5);
+  network.Run(std::chrono::seconds(15));
+  EXPECT_EQ(network[5].counters().deaths, 0u);
+  EXPECT_EQ(network[5].counters().suspicions, 0u);
+  EXPECT_TRUE(AllLive(network));
+}
+
+// Guards against a node without network that forgets the servers it knows.
+TEST(MembershipTest, AnIsolatedNodeDeclaresNobodyDead) {
+  FakeNetwork network(64, 4);
+  network.Run(std::chrono::seconds(3));
+  network.cut = [](std::size_t from, std::size_t to) {
+    return from == 5 || to == 5;
+  };
+  network.Run(std::chrono::seconds(60));
+  EXPECT_TRUE(network[5].isolated());
+  EXPECT_TRUE(HasEvent(network.hosts[5], Kind::kIsolated));
+  EXPECT_EQ(network[5].counters().deaths, 0u);
+  EXPECT_FALSE(network[5].IsZoneLost("zone-0"));
+  for (std::size_t i = 0; i < network.hosts.size(); ++i)
+    EXPECT_TRUE(network[5].IsLive(network[i].own().node));
+  network.cut = nullptr;
+  const auto time = network.RunUntil(std::chrono::seconds(20),
+                                     [&] { return AllLive(network); });
+  EXPECT_NE(time, kNever);
+  EXPECT_FALSE(network[5].isolated());
+}
+
+// Guards against a node that hears others but can't be heard, and takes its
+// unanswered probes for their death.
+TEST(MembershipTest, ANodeThatIsNotHeardDeclaresNobodyDead) {
+  FakeNetwork network(64, 4);
+  network.Run(std::chrono::seconds(3));
+  network.cut = [](std::size_t from, std::size_t) { return from == 5; };
+  network.Run(std::chrono::seconds(60));
+  EXPECT_EQ(network[5].counters().deaths, 0u);
+  for (std::size_t i = 0; i < network.hosts.size(); ++i)
+    EXPECT_TRUE(network[0].IsLive(network[i].own().node) || i == 5) << i;
+}
+
+// Guards against one suspicion and one death a node after the loss of a zone,
+// which is above the byte budget, and against a zone that stays lost.
+TEST(MembershipTest, ALostZoneIsOneRecordWithinTheByteBudget) {
+  FakeNetwork network(200, 4);
+  network.Run(std::chrono::seconds(5));
+  for (std::size_t i = 1; i < network.hosts.size(); i += 4)
+    network.hosts[i].up = false;
+  const auto time = network.RunUntil(std::chrono::seconds(12), [&] {
+    return network.All(
+        [](Membership& membership) { return membership.IsZoneLost("zone-1"); });
+  });
+  EXPECT_NE(time, kNever);
+  network.Run(std::chrono::seconds(60));
+  EXPECT_LE(network.Sum(&MembershipCounters::suspicions), 5u);
+  EXPECT_EQ(network.Sum(&MembershipCounters::deaths), 0u);
+  EXPECT_LE(network.MaxBytesPerSecond(), kMaxBytesPerSecond);
+  for (const char* zone : {"zone-0", "zone-2", "zone-3"})
+    EXPECT_FALSE(network[0].IsZoneLost(zone));
+  EXPECT_FALSE(network[0].IsLive(network[1].own().node));
+
+  // The hosts come back with new incarnations, 100 ms apart: a quarter of the
+  // cluster within 5 s.
+  const std::size_t count = network.hosts.size();
+  std::vector<state::Endpoint> seeds;
+  for (std::size_t i = 0; i < 32; i += 2)
+    seeds.push_back(network[i].own().gossip);
+  for (std::size_t i = 1; i < count; i += 4) {
+    NodeRecord record = network[i].own();
+    record.incarnation = IncarnationAfter(record.incarnation, 1);
+    network.Start(record, seeds);
+    network.Run(std::chrono::milliseconds(100));
+  }
+  const auto back = network.RunUntil(std::chrono::seconds(40), [&] {
+    return network.All([](Membership& membership) {
+      return !membership.IsZoneLost("zone-1");
+    }) && AllLive(network);
+  });
+  EXPECT_NE(back, kNever);
+  EXPECT_LE(network.MaxBytesPerSecond(), kMaxBytesPerSecond);
+}
+
+// Guards against thousands of deaths after a partition between regions, and
+// against sides that don't find each other afterwards.
+TEST(MembershipTest, APartitionedRegionIsUnreachableAndComesBack) {
+  FakeNetwork network(96, 4);
+  for (FakeNetwork::Host& host : network.hosts)
+    host.membership->SetRegions({{"zone-0", "north"},
+                                 {"zone-1", "north"},
+                                 {"zone-2", "south"},
+                                 {"zone-3", "south"}});
+  network.Run(std::chrono::seconds(3));
+  network.cut = [](std::size_t from, std::size_t to) {
+    return (from % 4 < 2) != (to % 4 < 2);
+  };
+  network.Run(std::chrono::seconds(120));
+  for (std::size_t i = 0; i < network.hosts.size(); ++i) {
+    EXPECT_EQ(network[i].IsRegionUnreachable("north"), i % 4 >= 2) << i;
+    EXPECT_EQ(network[i].IsRegionUnreachable("south"), i % 4 < 2) << i;
+  }
+  EXPECT_EQ(network.Sum(&MembershipCounters::deaths), 0u);
+  network.cut = nullptr;
+  const auto time = network.RunUntil(std::chrono::seconds(40), [&] {
+    return AllLive(network) && network.All([](Membership& membership) {
+      return !membership.IsRegionUnreachable("north") &&
+             !membership.IsRegionUnreachable("south");
+    });
+  });
+  EXPECT_NE(time, kNever);
+  EXPECT_LE(network.MaxBytesPerSecond(), kMaxBytesPerSecond);
+}
+
+// Guards against a zone reported lost by one node that can't reach it.
+TEST(MembershipTest, AZoneRefutesAFalseLoss) {
+  FakeNetwork network(64, 4);
+  network.Run(std::chrono::seconds(3));
+  GossipMessage message;
+  message.kind = GossipKind::kPush;
+  message.from = network[0].own();
+  message.zones = {{"zone-1", true, 9}};
+  network[2].Receive(message, EncodedBytesBound(message), network.now);
+  EXPECT_TRUE(network[2].IsZoneLost("zone-1"));
+  const auto time = network.RunUntil(std::chrono::seconds(10), [&] {
+    return network.All([](Membership& membership) {
+      return !membership.IsZoneLost("zone-1");
+    }) && HasEvent(network.hosts[2], Kind::kZoneRecovered);
+  });
+  EXPECT_NE(time, kNever);
+  EXPECT_FALSE(HasEvent(network.hosts[1], Kind::kZoneLost));
+}
+
+// Guards against a record of the previous run that arrives late and replaces
+// the new one.
+TEST(MembershipTest, AnOldIncarnationDoesNotReplaceTheNewOne) {
+  FakeNetwork network(8, 2);
+  const NodeRecord old = network[3].own();
+  NodeRecord fresh = old;
+  fresh.incarnation = IncarnationAfter(old.incarnation, 0);
+  network[0].ApplyRecords({fresh}, network.now);
+  NodeRecord late = old;
+  late.sequence = 1'000;
+  late.liveness = Liveness::kDead;
+  network[0].ApplyRecords({late}, network.now);
+  EXPECT_EQ(network[0].Find(old.node)->incarnation, fresh.incarnation);
+  EXPECT_TRUE(network[0].IsLive(old.node));
+
+  const state::WallTime start{std::chrono::hours(500'000)};
+  EXPECT_LT(MakeIncarnation(start, ~0ULL),
+            MakeIncarnation(start + std::chrono::milliseconds(1), 0));
+}
+
+// Guards against a node with a clock that went backwards, whose records nobody
+// would take, without its knowing.
+TEST(MembershipTest, ANodeLearnsThatANewerIncarnationExists) {
+  FakeNetwork network(8, 2);
+  NodeRecord newer = network[3].own();
+  newer.incarnation = IncarnationAfter(newer.incarnation, 0);
+  network[0].ApplyRecords({newer}, network.now);
+  network[3].ApplyRecords({newer}, network.now);
+  network.Run(std::chrono::seconds(1));
+  EXPECT_TRUE(HasEvent(network.hosts[3], Kind::kSuperseded));
+}
+
+// Guards against a cold start in which nodes that know only a seed don't find
+// each other.
+TEST(MembershipTest, NodesJoinThroughASeed) {
+  FakeNetwork network(48, 4, false);
+  const auto time = network.RunUntil(std::chrono::seconds(20), [&] {
+    return network.All(
+        [](Membership& membership) { return membership.size() == 48; });
+  });
+  EXPECT_NE(time, kNever);
+  EXPECT_TRUE(AllLive(network));
+}
+
+// Guards against a seed that is out of order keeping a node alone silently.
+TEST(MembershipTest, ANodeWhoseSeedIsDownSaysThatItIsIsolated) {
+  FakeNetwork network(2, 1, false);
+  network.hosts[0].up = false;
+  network.Run(std::chrono::seconds(10));
+  EXPECT_TRUE(network[1].isolated());
+}
+
+// Guards against a dead record that is kept forever.
+TEST(MembershipTest, ADeadRecordIsForgotten) {
+  FakeNetwork network(8, 2);
+  NodeRecord dead = network[3].own();
+  dead.liveness = Liveness::kDead;
+  network[0].ApplyRecords({dead}, network.now);
+  state::Instant now = network.now;
+  const state::Instant end =
+      now + MembershipOptions().dead_retention + std::chrono::seconds(20);
+  for (; now < end; now += std::chrono::seconds(1))
+    network[0].Tick(now);
+  EXPECT_EQ(network[0].Find(dead.node), std::nullopt);
+}
+
+// Guards against datagrams above the MTU and traffic above the budget while
+// more changes arrive than can be passed on.
+TEST(MembershipTest, DatagramsAndBytesStayBoundedUnderAFloodOfChanges) {
+  MembershipOptions options;
+  Membership membership(MakeNodeRecord(0, "zone-0"), {}, options,
+                        std::mt19937_64(1), state::Instant());
+  state::Instant now{};
+  std::uint64_t before = 0;
+  std::uint32_t sequence = 0;
+  for (int second = 0; second < 30; ++second) {
+    for (int tick = 0; tick < 10; ++tick) {
+      now += std::chrono::milliseconds(100);
+      std::vector<NodeRecord> records;
+      for (std::size_t i = 1; i < 400; ++i) {
+        records.push_back(MakeNodeRecord(i, "zone-" + std::to_string(i % 7)));
+        records.back().sequence = sequence;
+        records.back().backend_state = BackendState::kLeaving;
+      }
+      ++sequence;
+      GossipMessage message;
+      message.kind = GossipKind::kProbe;
+      message.from = records[0];
+      message.updates = records;
+      membership.Receive(message, 300, now);
+      membership.Tick(now);
+      for (const OutgoingGossip& out : membership.TakeDatagrams())
+        EXPECT_LE(EncodedBytesBound(out.message), kMaxDatagramBytes);
+      membership.TakeEvents();
+    }
+    const std::uint64_t sent = membership.counters().bytes_sent;
+    EXPECT_LE(sent - before, kMaxBytesPerSecond);
+    before = sent;
+  }
+  EXPECT_GT(membership.counters().over_budget, 0u);
+}
+
+// Guards against a newer configuration that a node is not told of.
+TEST(MembershipTest, ANewConfigurationVersionIsSeenByAll) {
+  FakeNetwork network(64, 4);
+  network.Run(std::chrono::seconds(3));
+  network[0].SetConfiguration(5, 77, network.now);
+  const auto time = network.RunUntil(std::chrono::seconds(10), [&] {
+    for (std::size_t i = 1; i < network.hosts.size(); ++i) {
+      if (HasEvent(network.hosts[i], Kind::kNewerConfiguration) &&
+          network[i].own().node != network[0].own().node)
+        network[i].SetConfiguration(5, 77, network.now);
+    }
+    return std::all_of(network.hosts.begin() + 1, network.hosts.end(),
+                       [](const FakeNetwork::Host& host) {
+                         return HasEvent(host, Kind::kNewerConfiguration);
+                       });
+  });
+  EXPECT_NE(time, kNever);
+}
+
+}  // namespace
+}  // namespace sesamespread::coordination
