--- a/include/sesamespread/transport/gossip_socket.h
+++ b/include/sesamespread/transport/gossip_socket.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 
 #include "sesamespread/protocol/codec.h"
 #include "sesamespread/state/node_record.h"
@@ -16,8 +17,7 @@
 namespace sesamespread::transport {
 
 /// A UDP socket for GossipMessage. All calls and the handler run on the
-/// io_context's thread. Must be destroyed after the io_context has stopped
-/// running handlers, or from one of them.
+/// io_context's thread.
 class GossipSocket {
  public:
   /// Gets each valid message and the datagram's size in bytes.
@@ -40,6 +40,7 @@
   GossipSocket(boost::asio::io_context& context,
                const state::Endpoint& endpoint,
                Handler handler);
+  ~GossipSocket();
 
   GossipSocket(const GossipSocket&) = delete;
   GossipSocket& operator=(const GossipSocket&) = delete;
@@ -64,6 +65,8 @@
   // One byte more than the largest datagram, so that a longer one is noticed.
   std::array<std::uint8_t, protocol::kMaxDatagramBytes + 1> buffer_{};
   Counters counters_;
+  // False once this socket is destroyed; a handler may still be queued then.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace sesamespread::transport
--- a/unittests/protocol/codec_test.cc
+++ b/unittests/protocol/codec_test.cc
@@ -75,5 +75,54 @@
   }
 }
 
+state::NodeRecord RandomRecord(std::mt19937_64& random) {
+  state::NodeRecord record;
+  record.node = random();
+  record.incarnation = random() % 2 * random();
+  record.sequence = random() % 2 * static_cast<std::uint32_t>(random());
+  record.name = std::string(random() % 40, 'n');
+  record.zone =
+      std::string(random() % 20, static_cast<char>('a' + random() % 26));
+  record.peer = {
+      std::string(random() % 40, static_cast<char>('a' + random() % 26)),
+      static_cast<std::uint16_t>(random() % 2 * random())};
+  record.gossip = record.peer;
+  if (random() % 2)
+    record.gossip.address = std::string(random() % 40, 'g');
+  record.service =
+      std::string(random() % 30, static_cast<char>('a' + random() % 26));
+  record.backend_state = static_cast<state::BackendState>(random() % 4);
+  record.liveness = static_cast<state::Liveness>(random() % 3);
+  return record;
+}
+
+// Guards against datagrams above the MTU, since membership fills them by the
+// bound and not by the encoded size.
+TEST(CodecTest, NoDatagramIsLargerThanItsBound) {
+  std::mt19937_64 random(5);
+  for (int round = 0; round < 20'000; ++round) {
+    GossipMessage message;
+    message.kind = static_cast<GossipKind>(random() % 5);
+    message.token = random();
+    message.configuration_version = random();
+    message.configuration_digest = random();
+    message.from = RandomRecord(random);
+    if (message.kind == GossipKind::kIndirectProbe)
+      message.target = RandomRecord(random);
+    for (std::uint64_t i = random() % 10; i > 0; --i)
+      message.updates.push_back(RandomRecord(random));
+    for (std::uint64_t i = random() % 22; i > 0; --i)
+      message.zones.push_back({std::string(random() % 20, 'z'),
+                               random() % 2 == 0,
+                               static_cast<std::uint32_t>(random() % 3)});
+    const std::string datagram = EncodeDatagram(message);
+    ASSERT_LE(datagram.size(), coordination::EncodedBytesBound(message));
+    ASSERT_EQ(
+        DecodeDatagram({reinterpret_cast<const std::uint8_t*>(datagram.data()),
+                        datagram.size()}),
+        message);
+  }
+}
+
 }  // namespace
 }  // namespace sesamespread::protocol
