--- a/lib/transport/node.cc
+++ b/lib/transport/node.cc
@@ -52,21 +52,21 @@
 
 std::string JsonOf(const NodeStatus& node) {
   return fmt::format(
-      "{{\"name\":\"{}\",\"zone\":\"{}\",\"service\":\"{}\","
+      "{{\"node\":\"{}\",\"name\":\"{}\",\"zone\":\"{}\",\"service\":\"{}\","
       "\"backend_state\":\"{}\",\"liveness\":\"{}\",\"live\":{},"
       "\"peer\":\"{}\"}}",
-      node.record.name, node.record.zone, node.record.service,
-      state::ToString(node.record.backend_state),
+      state::ToHex(node.record.node), node.record.name, node.record.zone,
+      node.record.service, state::ToString(node.record.backend_state),
       state::ToString(node.record.liveness), node.live,
       state::ToString(node.record.peer));
 }
 
 std::string JsonOf(const coordination::ServerView& view) {
   return fmt::format(
-      "{{\"name\":\"{}\",\"zone\":\"{}\",\"in_flight\":{},\"latency_us\":{},"
+      "{{\"node\":\"{}\",\"distance\":{},\"in_flight\":{},\"latency_us\":{},"
       "\"refusal_rate\":{:.3f},\"ejected\":{},\"unreachable\":{}}}",
-      view.name, view.zone, view.in_flight, view.latency.count(),
-      view.refusal_rate, view.ejected, view.unreachable);
+      state::ToHex(view.node), view.distance, view.in_flight,
+      view.latency.count(), view.refusal_rate, view.ejected, view.unreachable);
 }
 
 std::string JsonOf(const protocol::ServiceThreshold& threshold) {
--- a/lib/transport/status_page.h
+++ b/lib/transport/status_page.h
@@ -49,8 +49,9 @@
          Object.entries(s).filter(([, v]) => typeof v !== 'object'));
     fill('nodes', ['node', 'zone', 'service', 'backend server', 'live'],
          s.nodes.map(n => [n.name, n.zone, n.service, n.backend_state, n.live]));
-    fill('servers', ['node', 'zone', 'in flight', 'latency us', 'refusals'],
-         s.servers.map(v => [v.name, v.zone, v.in_flight, v.latency_us,
+    fill('servers', ['node', 'distance', 'in flight', 'latency us', 'refusals'],
+         s.servers.map(v => [(s.nodes.find(n => n.node === v.node) || v).name ||
+                              v.node, v.distance, v.in_flight, v.latency_us,
                              v.refusal_rate]));
     const metrics = await (await fetch('/metrics', {headers: headers()})).text();
     const rows = [];
