--- a/lib/transport/inbound_calls.cc
+++ b/lib/transport/inbound_calls.cc
@@ -24,9 +24,10 @@
       self_(std::move(self)),
       executor_(executor),
       on_control_(std::move(on_control)),
-      listener_(context, endpoint, [this](std::shared_ptr<PeerLink> link) {
-        OnAccept(std::move(link));
-      }) {
+      listener_(
+          context,
+          endpoint,
+          [this](const std::shared_ptr<PeerLink>& link) { OnAccept(link); }) {
   CheckLinks();
 }
 
@@ -49,7 +50,7 @@
   return count;
 }
 
-void InboundCalls::OnAccept(std::shared_ptr<PeerLink> link) {
+void InboundCalls::OnAccept(const std::shared_ptr<PeerLink>& link) {
   if (links_.size() >= kMaxInboundLinks) {
     link->Close("too many links");
     return;
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -149,15 +149,16 @@
   if (session.connecting || session.link)
     return;
   session.connecting = true;
-  ConnectPeer(context_, session.endpoint, kPeerConnectTimeout,
-              [this, node, alive = alive_](std::shared_ptr<PeerLink> link) {
-                if (*alive)
-                  OnConnected(node, std::move(link));
-              });
+  ConnectPeer(
+      context_, session.endpoint, kPeerConnectTimeout,
+      [this, node, alive = alive_](const std::shared_ptr<PeerLink>& link) {
+        if (*alive)
+          OnConnected(node, link);
+      });
 }
 
 void OutboundCalls::OnConnected(state::NodeId node,
-                                std::shared_ptr<PeerLink> link) {
+                                const std::shared_ptr<PeerLink>& link) {
   Session& session = sessions_[node];
   session.connecting = false;
   if (!link) {
--- a/lib/transport/request_handler.cc
+++ b/lib/transport/request_handler.cc
@@ -430,13 +430,14 @@
   request.call.body.clear();
   request.dispatch = dispatcher_.Dispatch(
       std::move(order),
-      [this, key, alive = alive_](protocol::CallAnswer answer) {
+      [this, key, alive = alive_](const protocol::CallAnswer& answer) {
         if (*alive)
-          OnAnswer(key, std::move(answer));
+          OnAnswer(key, answer);
       });
 }
 
-void RequestHandler::OnAnswer(RequestKey key, protocol::CallAnswer answer) {
+void RequestHandler::OnAnswer(RequestKey key,
+                              const protocol::CallAnswer& answer) {
   auto node = requests_.extract(key);
   if (node.empty())
     return;
