Limit concurrency by a latency gradient with trials

Cause: a plain gradient lowers the limit even if that does not help, and AIMD on queueing delay recovers by one request per window. Change: each reduction is a trial that is undone unless latency falls with it; own latency excludes sub-calls; a ramp covers cold starts.

--- a/include/sesamespread/coordination/concurrency_limiter.h
+++ b/include/sesamespread/coordination/concurrency_limiter.h
@@ -84,6 +84,9 @@
   /// Closes windows and advances the ramp. May be called at any rate.
   void Tick(state::Instant now);
 
+  /// Changes the upper bound; at least 1. A limit that was not reduced follows.
+  void set_slots(std::uint32_t slots);
+
   /// The tracked latency of \p importance without queueing; zero if none was
   /// measured yet.
   state::Duration baseline(state::Importance importance) const;
@@ -95,9 +98,14 @@
     std::uint32_t answered = 0;
     double answered_sum = 0;
   };
+  struct Baseline {
+    // log2 of microseconds, slack included.
+    double latency = 0;
+    // Counted until there are enough for a mean; 0 if none was measured.
+    std::uint32_t samples = 0;
+  };
   // A reduction whose effect is not known yet.
   struct Trial {
-    state::Instant start;
     double limit_before;
     // log2 of latency over baseline before the reduction.
     double excess_before;
@@ -105,12 +113,16 @@
     state::Instant give_up;
   };
 
+  bool has_answers() const;
   std::uint32_t SamplesNeeded() const;
   void CloseWindow(state::Instant now);
   void UpdateBaselines(state::Duration elapsed);
-  // True if the trial failed and the limit was restored.
+  // False if the reduction had no effect and the limit was restored.
   bool EndTrial(double excess);
-  void StartTrial(double excess, double over, state::Instant now);
+  void StartTrial(double excess,
+                  double over,
+                  state::Instant now,
+                  state::Duration settling);
   void Raise();
   void AdvanceRamp(state::Instant now);
   void ResetWindow(state::Instant now);
@@ -125,14 +137,15 @@
   // True if latency was too high in the current step of the ramp.
   bool ramp_held_ = false;
 
-  // log2 of microseconds, slack included; nullopt until measured.
-  std::array<std::optional<double>, kImportanceCount> baseline_;
+  std::array<Baseline, kImportanceCount> baseline_{};
   // log2 of a slowdown that fewer requests in progress do not remedy; >= 0.
   double slowdown_ = 0;
   std::optional<Trial> trial_;
   // Consecutive raises since the last reduction; each doubles the step.
   std::uint32_t raises_ = 0;
 
+  // In the future while the effect of a changed limit is awaited; samples
+  // before it do not count.
   state::Instant window_start_;
   std::array<ClassWindow, kImportanceCount> window_{};
   // Sum of log2 of latency over baseline, and number of samples in it.
--- a/lib/coordination/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace sesamespread::coordination {}
