--- a/include/sesamespread/coordination/shedding.h
+++ b/include/sesamespread/coordination/shedding.h
@@ -88,10 +88,14 @@
   void CloseInterval(std::uint32_t queued,
                      state::Duration service_time,
                      double seconds);
-  // The highest threshold at which the interval's arrivals fit the budget.
+  void UpdateServiceRate(double seconds, bool saturated);
+  void UpdateArrivals();
+  // The highest threshold at which the smoothed arrivals fit the budget.
   std::uint32_t Placement(double budget) const;
   void Lower(double budget);
-  void Raise(double budget);
+  // \p saturated tells that the budget is what the server can do, not what it
+  // was asked for.
+  void Raise(double budget, bool saturated);
 
   SheddingOptions options_;
   std::uint32_t threshold_ = state::kPriorityCount;
@@ -102,7 +106,11 @@
 
   state::Instant interval_start_;
   std::array<std::uint32_t, state::kPriorityCount> arrivals_{};
+  // Arrivals per interval over the last intervals.
+  std::array<float, state::kPriorityCount> smoothed_arrivals_{};
   std::uint32_t started_ = 0;
+  // Part of started_ that had to wait.
+  std::uint32_t waited_ = 0;
   std::uint32_t dropped_ = 0;
   std::uint32_t finished_ = 0;
   state::Duration wait_sum_{0};
