Admit, queue or refuse requests at the backend server

Cause: without admission control a surge with retries leaves no goodput. Change: AdmissionController with the policies none, fixed limit and adaptive: bounded queue by importance and depth, displacement, no start that can't be answered in time, early final refusals with a jittered retry time.

--- a/include/sesamespread/coordination/admission.h
+++ b/include/sesamespread/coordination/admission.h
@@ -144,6 +144,13 @@
   /// Forgets a queued request whose caller went away.
   CancelOutcome Cancel(Ticket ticket, state::Instant now);
 
+  /// Applies a changed number of slots; at least 1. Requests in progress beyond
+  /// it go on.
+  void set_slots(std::uint32_t slots) {
+    options_.slots = slots;
+    limiter_.set_slots(slots);
+  }
+
   /// While leaving, all new requests are refused with kLeaving. Queued ones
   /// still start.
   void set_leaving(bool leaving) { leaving_ = leaving; }
@@ -182,59 +189,71 @@
   struct ServiceTime {
     LatencyHistogram histogram;
     state::Duration median{0};
+    // Since when the histogram counts.
+    state::Instant since;
     std::uint32_t running = 0;
   };
   // What the policies do differently.
   struct Policy {
     std::uint32_t (AdmissionController::*limit)() const;
-    std::optional<state::ResultCode> (AdmissionController::*refuse)(
-        const Entry& entry,
-        std::uint32_t priority);
-    bool (AdmissionController::*has_room)(const Entry& entry,
-                                          state::Instant now) const;
-    state::Duration (AdmissionController::*needed_time)(
-        state::Importance importance) const;
-    void (AdmissionController::*refuse_overdue)(state::Instant now,
-                                                AdmissionActions& actions);
+    std::uint32_t (AdmissionController::*queue_bound)() const;
+    // Whether a request passes the threshold.
+    bool (AdmissionController::*admits)(std::uint32_t priority) const;
+    // Whether it is too late to start a request.
+    bool (AdmissionController::*expired)(const Entry& entry,
+                                         state::Instant now) const;
+    // Whether a request would start in time if it were queued.
+    bool (AdmissionController::*in_time)(const Entry& entry,
+                                         state::Instant now) const;
+    // Whether a queued request has waited too long.
+    bool (AdmissionController::*overdue)(const Entry& entry,
+                                         state::Instant now) const;
+    // The queued request to start next, or null.
     Entry* (AdmissionController::*next)() const;
+    // Whether a better request takes the place of a queued one.
+    bool displaces;
   };
 
   // Two ranks per importance: requests deep in a chain come first.
   static constexpr std::size_t kRankCount = 2 * kImportanceCount;
   static const Policy kPolicies[];
 
-  std::uint32_t NoLimit() const;
-  std::uint32_t SlotLimit() const;
+  std::uint32_t MaxInProgress() const;
+  std::uint32_t Slots() const;
   std::uint32_t AdaptiveLimit() const;
-  std::optional<state::ResultCode> RefuseNone(const Entry& entry,
-                                              std::uint32_t priority);
-  std::optional<state::ResultCode> RefuseByThreshold(const Entry& entry,
-                                                     std::uint32_t priority);
-  bool FixedRoom(const Entry& entry, state::Instant now) const;
-  bool AdaptiveRoom(const Entry& entry, state::Instant now) const;
-  state::Duration NoTime(state::Importance importance) const;
-  state::Duration MedianTime(state::Importance importance) const;
-  void KeepOverdue(state::Instant now, AdmissionActions& actions);
-  void RefuseOverdue(state::Instant now, AdmissionActions& actions);
+  std::uint32_t FixedQueue() const;
+  std::uint32_t AdaptiveQueue() const;
+  bool AdmitsAll(std::uint32_t priority) const;
+  bool AdmitsByThreshold(std::uint32_t priority) const;
+  bool Never(const Entry& entry, state::Instant now) const;
+  bool Always(const Entry& entry, state::Instant now) const;
+  bool PastDeadline(const Entry& entry, state::Instant now) const;
+  bool TooLateToAnswer(const Entry& entry, state::Instant now) const;
+  bool StartsInTime(const Entry& entry, state::Instant now) const;
+  bool WaitedTooLong(const Entry& entry, state::Instant now) const;
   Entry* OldestOfAll() const;
   Entry* MostImportant() const;
 
   const Policy& policy() const;
-  bool Expired(const Entry& entry, state::Instant now) const;
-  AdmissionDecision Refuse(state::ResultCode code);
-  Refusal RefusalOf(const Entry& entry, state::ResultCode code);
-  // Removes a queued request worse than \p entry; nullopt if there is none.
-  std::optional<Refusal> Displace(const Entry& entry, state::Instant now);
+  std::uint32_t limit() const { return (this->*policy().limit)(); }
+  Refusal RefusalOf(Ticket ticket, state::ResultCode code);
+  AdmissionDecision Refuse(Ticket ticket, state::ResultCode code);
+  // The queued request that gives way to \p entry; null if none is worse.
+  Entry* WorseThan(const Entry& entry) const;
   void Enqueue(Entry& entry);
   void Unlink(Entry& entry);
   void Start(Entry& entry, state::Instant now);
-  void RefuseEntry(Entry& entry,
-                   state::ResultCode code,
-                   AdmissionActions& actions);
-  void RefuseExpired(state::Instant now, AdmissionActions& actions);
-  void StartQueued(state::Instant now, AdmissionActions& actions);
+  // Removes a queued request and records that capacity was lacking.
+  Refusal Drop(Entry& entry, state::ResultCode code);
+  void RefuseLate(RankQueue& queue,
+                  state::Instant now,
+                  AdmissionActions& actions);
+  // Refuses what is late and starts what the limit allows.
+  AdmissionActions Proceed(state::Instant now);
+  // Closes the windows of all measurements that have passed.
   void Advance(state::Instant now);
-  void CloseServiceTimeWindow(state::Instant now);
+  void UpdateServiceTime(ServiceTime& time, state::Duration elapsed);
+  state::Duration LongestServiceTime() const;
   state::Duration DrainTime() const;
 
   AdmissionOptions options_;
@@ -252,7 +271,7 @@
   std::uint32_t in_progress_ = 0;
 
   std::array<ServiceTime, kImportanceCount> service_times_;
-  state::Instant service_window_start_;
+  state::Instant window_start_;
   // Refused requests per second, smoothed over a second; they will return.
   double refused_rate_ = 0;
   std::uint32_t refused_ = 0;
