Add the operators' verbs, the platform's client and its stand-in

Operators had no way to check, change or read the configuration. The verbs check, diff, apply, show, history, rollback and explain work on files and on the platform itself, status and drain call a node. The client bounds each call as a whole, because the timeout of cpprestsdk starts anew with each part of a reply.

With 3 replies lost in a row, apply reports the version that is in the table.

Conclusion: no outcome is guessed; where it can't be settled, the run state is unknown and the attempt id leads to it in the history.

--- a/include/sesamespread/transport/platform_client.h
+++ b/include/sesamespread/transport/platform_client.h
@@ -20,7 +20,7 @@
   /// Bound of each call, from its start to its whole reply.
   state::Duration timeout = std::chrono::seconds(2);
   /// Sent as bearer token; empty for none.
-  std::string token;
+  std::string token = {};
 };
 
 /// Calls made by a PlatformClient.
--- /dev/null
+++ b/lib/transport/rest_call.cc
@@ -0,0 +1,94 @@
+/// \file
+/// Calls through cpprestsdk.
+#include "rest_call.h"
+
+#include <pplx/threadpool.h>
+
+#include <future>
+#include <memory>
+#include <mutex>
+
+#include "sesamespread/transport/rest_threads.h"
+
+namespace sesamespread::transport {
+namespace {
+
+using web::http::http_exception;
+using web::http::http_request;
+using web::http::http_response;
+
+RestReply ReplyOf(const http_exception& error) {
+  // cpprestsdk reports a connection that was never opened as host_unreachable
+  // or connection_refused, and nothing that comes later.
+  const std::error_code& code = error.error_code();
+  const bool is_unconnected = code == std::errc::host_unreachable ||
+                              code == std::errc::connection_refused;
+  return {is_unconnected ? RestOutcome::kNotConnected : RestOutcome::kNoReply,
+          0,
+          {},
+          error.what()};
+}
+
+// The end of a task as a value; a task must not end with an exception that
+// nobody observes.
+RestReply Observe(const pplx::task<RestReply>& task) {
+  try {
+    return task.get();
+  } catch (const http_exception& error) {
+    return ReplyOf(error);
+  } catch (const std::exception& error) {
+    return {RestOutcome::kNoReply, 0, {}, error.what()};
+  }
+}
+
+pplx::task<RestReply> ReadBody(const http_response& response) {
+  return response.extract_vector().then(
+      [status =
+           response.status_code()](const std::vector<unsigned char>& body) {
+        return RestReply{RestOutcome::kAnswered,
+                         static_cast<int>(status),
+                         {body.begin(), body.end()},
+                         {}};
+      });
+}
+
+}  // namespace
+
+void LimitRestThreads() {
+  static std::once_flag once;
+  std::call_once(once, [] {
+    try {
+      crossplat::threadpool::initialize_with_threads(kRestThreads);
+    } catch (const std::exception&) {
+      // Another part of the process has started the pool already.
+    }
+  });
+}
+
+web::http::client::http_client_config RestConfig(state::Duration timeout) {
+  LimitRestThreads();
+  web::http::client::http_client_config config;
+  config.set_timeout(timeout);
+  return config;
+}
+
+RestReply CallRest(web::http::client::http_client& client,
+                   const http_request& request,
+                   state::Duration timeout) {
+  // The client's own timeout starts anew with each part of a reply, so a server
+  // that sends slowly could hold a call for ever.
+  pplx::cancellation_token_source cancellation;
+  auto promise = std::make_shared<std::promise<RestReply>>();
+  std::future<RestReply> reply = promise->get_future();
+  client.request(request, cancellation.get_token())
+      .then(ReadBody)
+      .then([promise](const pplx::task<RestReply>& task) {
+        promise->set_value(Observe(task));
+      });
+  if (reply.wait_for(timeout) == std::future_status::ready)
+    return reply.get();
+  cancellation.cancel();
+  return {RestOutcome::kNoReply, 0, {}, "no whole reply in time"};
+}
+
+}  // namespace sesamespread::transport
--- /dev/null
+++ b/test/operations/operations_test.cc
@@ -0,0 +1,400 @@
+/// \file
+/// Runs the verbs and the platform's client against the stand-in platform as
+/// separate processes.
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "sesamespread/coordination/configuration_reader.h"
+#include "sesamespread/coordination/configuration_writer.h"
+#include "sesamespread/transport/operator_client.h"
+#include "sesamespread/transport/platform_client.h"
+
+namespace sesamespread {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using coordination::StoreStatus;
+using transport::PlatformClient;
+using transport::PlatformOptions;
+
+const std::string kRoot = SESAMESPREAD_SOURCE_DIR;
+const std::string kColmenar = kRoot + "/examples/colmenar.yaml";
+
+// A process whose first line of output is "listening <port>".
+class StandIn {
+ public:
+  explicit StandIn(std::vector<std::string> arguments) {
+    std::array<int, 2> ends{};
+    EXPECT_EQ(pipe(ends.data()), 0);
+    pid_ = fork();
+    if (pid_ == 0) {
+      dup2(ends[1], STDOUT_FILENO);
+      std::vector<char*> argv;
+      arguments.insert(arguments.begin(), SESAMESPREAD_STANDINS);
+      for (std::string& argument : arguments)
+        argv.push_back(argument.data());
+      argv.push_back(nullptr);
+      execv(argv[0], argv.data());
+      _exit(127);
+    }
+    close(ends[1]);
+    std::FILE* output = fdopen(ends[0], "r");
+    EXPECT_EQ(std::fscanf(output, "listening %d", &port_), 1);
+    std::fclose(output);
+  }
+  ~StandIn() {
+    kill(pid_, SIGTERM);
+    waitpid(pid_, nullptr, 0);
+  }
+  StandIn(const StandIn&) = delete;
+  StandIn& operator=(const StandIn&) = delete;
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(port_);
+  }
+
+  void Control(const std::string& json) const {
+    const auto reply =
+        transport::CallOperator({url(), "", ""}, "POST", "/control", json);
+    EXPECT_EQ(reply.status, 200) << reply.body;
+  }
+
+ private:
+  pid_t pid_ = 0;
+  int port_ = 0;
+};
+
+struct VerbResult {
+  int exit = -1;
+  std::string output;
+};
+
+// Runs the program with standard error in the output.
+VerbResult RunVerb(const std::string& arguments) {
+  VerbResult result;
+  const std::string line =
+      std::string(SESAMESPREAD_PROGRAM) + " " + arguments + " 2>&1";
+  std::FILE* output = popen(line.c_str(), "r");
+  std::array<char, 4096> buffer{};
+  while (const std::size_t size =
+             std::fread(buffer.data(), 1, buffer.size(), output))
+    result.output.append(buffer.data(), size);
+  result.exit = WEXITSTATUS(pclose(output));
+  return result;
+}
+
+// colmenar.yaml with other slots of prices, in a file of its own.
+std::string InventoryWithSlots(int slots) {
+  std::ifstream file(kColmenar);
+  std::stringstream text;
+  text << file.rdbuf();
+  std::string content = text.str();
+  content.replace(content.find("slots: 15\n"), 9,
+                  "slots: " + std::to_string(slots));
+  const std::string path = testing::TempDir() + "inventory-" +
+                           std::to_string(getpid()) + "-" +
+                           std::to_string(slots) + ".yaml";
+  std::ofstream(path) << content;
+  return path;
+}
+
+coordination::TableTransaction Insert(const std::string& key,
+                                      const std::string& value) {
+  return {{{key, std::nullopt}}, {{key, value}}, {}};
+}
+
+TEST(PlatformClientTest, ReadsWhatItWroteIncludingEscapedText) {
+  const StandIn platform({"platform"});
+  PlatformClient client({platform.url()});
+  const std::string text = "\"quoted\" \\ \n\t ñ {a: 1}";
+  EXPECT_EQ(client.ReadRow("a/1").row, std::nullopt);
+  EXPECT_EQ(client.Commit(Insert("a/1", text)).status, StoreStatus::kDone);
+  EXPECT_EQ(client.Commit(Insert("a/2", "b")).status, StoreStatus::kDone);
+  EXPECT_EQ(client.ReadRow("a/1").row->value, text);
+  EXPECT_EQ(client.ReadRange("a/", "", 10).rows.size(), 2u);
+  EXPECT_EQ(client.ReadRange("a/", "a/1", 10).rows.at(0).key, "a/2");
+  EXPECT_EQ(client.ReadRange("a/", "", 1).rows.size(), 1u);
+  const auto refused = client.Commit(Insert("a/1", "other"));
+  EXPECT_EQ(refused.status, StoreStatus::kConditionFailed);
+  EXPECT_EQ(refused.failed_key, "a/1");
+  EXPECT_EQ(refused.current_value, text);
+  const std::string bytes("\0\xff\x01 bytes", 9);
+  EXPECT_EQ(client.PutObject("config/snapshot", bytes), StoreStatus::kDone);
+  EXPECT_EQ(client.GetObject("config/snapshot").content, bytes);
+  EXPECT_EQ(client.GetObject("none").content, std::nullopt);
+  EXPECT_EQ(client.counters().reads, 7u);
+  EXPECT_EQ(client.counters().writes, 4u);
+  EXPECT_EQ(client.counters().failures, 0u);
+}
+
+TEST(PlatformClientTest, OutagesAreToldApart) {
+  const StandIn platform({"platform", "--token", "secret"});
+  PlatformClient without({platform.url()});
+  EXPECT_EQ(without.ReadRow("a").status, StoreStatus::kUnauthorized);
+  PlatformOptions options{platform.url(), std::chrono::milliseconds(300),
+                          "secret"};
+  PlatformClient client(options);
+  EXPECT_EQ(client.ReadRow("a").status, StoreStatus::kDone);
+  platform.Control(R"({"mode": "slow", "delay_ms": 5000})");
+  EXPECT_EQ(client.Commit(Insert("a", "b")).status, StoreStatus::kNoReply);
+  platform.Control(R"({"mode": "down"})");
+  EXPECT_EQ(client.Commit(Insert("a", "b")).status, StoreStatus::kNoReply);
+  options.url = "http://127.0.0.1:1";
+  PlatformClient closed(options);
+  EXPECT_EQ(closed.Commit(Insert("a", "b")).status, StoreStatus::kNotDelivered);
+  EXPECT_EQ(closed.counters().failures, 1u);
+}
+
+TEST(PlatformClientTest, CallsBeyondThePlatformsRateAreNotDelivered) {
+  const StandIn platform({"platform", "--writes-per-second", "1"});
+  PlatformClient client({platform.url()});
+  EXPECT_EQ(client.Commit(Insert("a", "b")).status, StoreStatus::kDone);
+  EXPECT_EQ(client.Commit(Insert("c", "d")).status, StoreStatus::kNotDelivered);
+}
+
+// A server that answers one byte at a time must not hold a call for longer
+// than its timeout, although each byte is progress.
+TEST(PlatformClientTest, TrickledReplyEndsAtTheTimeout) {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+  std::atomic<bool> stop = false;
+  std::thread server([&] {
+    tcp::socket socket(context);
+    acceptor.accept(socket);
+    boost::system::error_code error;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
+    asio::write(socket, asio::buffer(head), error);
+    asio::steady_timer timer(context);
+    while (!stop && !error) {
+      asio::write(socket, asio::buffer(" ", 1), error);
+      timer.expires_after(std::chrono::milliseconds(20));
+      timer.wait();
+    }
+  });
+  PlatformClient client(
+      {"http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+       std::chrono::milliseconds(200), ""});
+  const auto start = std::chrono::steady_clock::now();
+  EXPECT_EQ(client.ReadRow("a").status, StoreStatus::kNoReply);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::seconds(2));
+  stop = true;
+  server.join();
+}
+
+class VerbTest : public testing::Test {
+ protected:
+  VerbResult Verb(const std::string& arguments) const {
+    return RunVerb(arguments + " --platform " + platform_.url());
+  }
+  VerbResult Apply(const std::string& file,
+                   const std::string& more = "") const {
+    return Verb("apply " + file + " --who maria --why test " + more);
+  }
+
+  const StandIn platform_{{"platform"}};
+};
+
+TEST_F(VerbTest, ChangeIsReviewedAppliedShownAndRolledBack) {
+  EXPECT_EQ(Apply(kColmenar).exit, 0);
+  const std::string second = InventoryWithSlots(20);
+  EXPECT_NE(
+      Verb("diff " + second).output.find("service/prices.slots: 15 -> 20"),
+      std::string::npos);
+  EXPECT_EQ(Apply(second).exit, 0);
+  EXPECT_EQ(Apply(second).exit, 0);  // nothing to change
+  const VerbResult back = Verb("rollback --to 1 --who jose --why back");
+  EXPECT_EQ(back.exit, 0) << back.output;
+  EXPECT_NE(back.output.find("version 3 by jose"), std::string::npos);
+  EXPECT_NE(Verb("history").output.find("version 2 by maria"),
+            std::string::npos);
+  EXPECT_EQ(Verb("show --version 9").exit, 7);
+  // What `show` prints is accepted and is the same content.
+  const std::string printed =
+      testing::TempDir() + "printed-" + std::to_string(getpid()) + ".yaml";
+  EXPECT_EQ(Verb("show --version 2 > " + printed).exit, 0);
+  EXPECT_EQ(Apply(printed).exit, 0);
+  EXPECT_NE(Verb("diff " + second).output.find("0 entries differ"),
+            std::string::npos);
+  PlatformClient client({platform_.url()});
+  const auto snapshot = client.GetObject(coordination::kSnapshotObject);
+  EXPECT_EQ(coordination::ParseSnapshot(snapshot.content.value()),
+            coordination::ReadContentAt(client, 1));
+}
+
+TEST_F(VerbTest, OfRacingOperatorsOneSucceedsAndIsNamedToTheOthers) {
+  ASSERT_EQ(Apply(kColmenar).exit, 0);
+  constexpr int kOperators = 8;
+  std::vector<std::future<VerbResult>> runs;
+  for (int i = 0; i < kOperators; ++i) {
+    const std::string line =
+        "apply " + InventoryWithSlots(100 + i) + " --why race --who op" +
+        std::to_string(i) + " --expect-version 1 --platform " + platform_.url();
+    runs.push_back(std::async(std::launch::async, RunVerb, line));
+  }
+  int succeeded = 0;
+  for (auto& run : runs) {
+    const VerbResult result = run.get();
+    succeeded += result.exit == 0 ? 1 : 0;
+    if (result.exit == 0)
+      continue;
+    EXPECT_EQ(result.exit, 4) << result.output;
+    EXPECT_NE(result.output.find("version 2 by op"), std::string::npos)
+        << result.output;
+  }
+  EXPECT_EQ(succeeded, 1);
+}
+
+TEST_F(VerbTest, LostRepliesAndOldReadsAreResolved) {
+  ASSERT_EQ(Apply(kColmenar).exit, 0);
+  // More than the client's own repetition on a connection that was closed.
+  platform_.Control(R"({"lose_replies": 3})");
+  const VerbResult lost = Apply(InventoryWithSlots(20));
+  EXPECT_EQ(lost.exit, 0) << lost.output;
+  platform_.Control(R"({"stale_reads": true, "lose_replies": 3})");
+  const VerbResult stale = Apply(InventoryWithSlots(25));
+  EXPECT_EQ(stale.exit, 0) << stale.output;
+  // Reads still show version 2, so that this change would revert version 3.
+  const VerbResult reverting = Apply(kColmenar);
+  EXPECT_EQ(reverting.exit, 4) << reverting.output;
+  EXPECT_NE(reverting.output.find("version 3 by maria"), std::string::npos);
+  platform_.Control(R"({"stale_reads": false})");
+  EXPECT_NE(Verb("history").output.find("version 3 by maria"),
+            std::string::npos);
+}
+
+TEST_F(VerbTest, OutageIsReportedWithTheAttemptThatHistoryShows) {
+  ASSERT_EQ(Apply(kColmenar).exit, 0);
+  // Every reply to a write is lost for longer than the writer tries.
+  platform_.Control(R"({"lose_replies": 1000, "stale_reads": true})");
+  const VerbResult unknown =
+      Apply(InventoryWithSlots(20), "--output json --give-up-after 1s");
+  EXPECT_EQ(unknown.exit, 5) << unknown.output;
+  EXPECT_NE(unknown.output.find(R"("run_state": "unknown")"), std::string::npos)
+      << unknown.output;
+  platform_.Control(R"({"lose_replies": 0, "stale_reads": false})");
+  const std::string field = R"("attempt": ")";
+  const std::size_t start = unknown.output.find(field) + field.size();
+  const VerbResult found =
+      Verb("history --attempt " + unknown.output.substr(start, 32));
+  EXPECT_EQ(found.exit, 0) << found.output;
+  EXPECT_NE(found.output.find("version 2 by maria"), std::string::npos);
+  platform_.Control(R"({"mode": "down"})");
+  EXPECT_EQ(Verb("show").exit, 5);
+}
+
+TEST(UsageTest, ExitCodesTellFaultsApart) {
+  EXPECT_EQ(RunVerb("aply").exit, 2);
+  EXPECT_NE(RunVerb("aply").output.find("'apply'"), std::string::npos);
+  EXPECT_EQ(RunVerb("check").exit, 2);
+  EXPECT_EQ(
+      RunVerb("check " + kColmenar + " --node " + kRoot + "/examples/node.yaml")
+          .exit,
+      0);
+  EXPECT_EQ(RunVerb("check " + kRoot + "/test/broken/cycle.yaml").exit, 3);
+  EXPECT_EQ(
+      RunVerb("apply " + kColmenar + " --platform http://127.0.0.1:1").exit,
+      2);  // without --who
+  EXPECT_EQ(RunVerb("show --platform http://127.0.0.1:1").exit, 5);
+  EXPECT_EQ(RunVerb("status --node http://127.0.0.1:1").exit, 8);
+  const VerbResult explained = RunVerb(
+      "explain --service orders --method POST --path /new " + kColmenar);
+  EXPECT_NE(explained.output.find("critical"), std::string::npos);
+}
+
+TEST(UsageTest, EachVerbHasHelpWithExamples) {
+  for (const char* verb : {"check", "diff", "apply", "show", "history",
+                           "rollback", "explain", "status", "drain"}) {
+    const VerbResult help = RunVerb(std::string(verb) + " --help");
+    EXPECT_EQ(help.exit, 0);
+    EXPECT_NE(
+        help.output.find("Examples:\n  sesamespread " + std::string(verb)),
+        std::string::npos)
+        << help.output;
+  }
+}
+
+TEST(UsageTest, ReferenceIsTheCommittedPage) {
+  std::ifstream page(kRoot + "/docs/SETTINGS.md");
+  std::stringstream text;
+  text << page.rdbuf();
+  EXPECT_EQ(RunVerb("check --reference").output, text.str());
+}
+
+TEST(UsageTest, CompletionOffersVerbsAndOptions) {
+  const std::string script =
+      testing::TempDir() + "completion-" + std::to_string(getpid()) + ".sh";
+  ASSERT_EQ(RunVerb("completion bash > " + script).exit, 0);
+  const std::string complete =
+      "bash -c 'source " + script +
+      "; COMP_WORDS=(" SESAMESPREAD_PROGRAM
+      " rollback --t); COMP_CWORD=2; _sesamespread; echo ${COMPREPLY[@]}'";
+  std::FILE* output = popen(complete.c_str(), "r");
+  std::array<char, 256> line{};
+  ASSERT_NE(std::fgets(line.data(), line.size(), output), nullptr);
+  pclose(output);
+  EXPECT_STREQ(line.data(), "--to --timeout\n");
+}
+
+// Answers one request with `reply` and returns what was received.
+class OneReplyServer {
+ public:
+  explicit OneReplyServer(std::string reply)
+      : acceptor_(context_, {asio::ip::address_v4::loopback(), 0}),
+        request_(std::async(std::launch::async, [this, reply] {
+          tcp::socket socket(context_);
+          acceptor_.accept(socket);
+          std::string request;
+          asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+          asio::write(socket, asio::buffer(reply));
+          return request;
+        })) {}
+
+  std::string url() const {
+    return "http://127.0.0.1:" +
+           std::to_string(acceptor_.local_endpoint().port());
+  }
+  std::string TakeRequest() { return request_.get(); }
+
+ private:
+  asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::future<std::string> request_;
+};
+
+TEST(NodeCallTest, StatusAndDrainSendTheTokenAndPrintTheReply) {
+  const std::string token =
+      testing::TempDir() + "token-" + std::to_string(getpid());
+  std::ofstream(token) << "secret\n";
+  OneReplyServer node(
+      "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"
+      R"({"drain": {"state": "leaving"}})"
+      "\r\n");
+  const VerbResult drained =
+      RunVerb("drain --node " + node.url() + " --token-file " + token);
+  EXPECT_EQ(drained.exit, 0) << drained.output;
+  const std::string request = node.TakeRequest();
+  EXPECT_EQ(request.rfind("POST /v1/drain HTTP/1.1\r\n", 0), 0u) << request;
+  EXPECT_NE(request.find("Bearer secret"), std::string::npos) << request;
+  OneReplyServer strict(
+      "HTTP/1.1 401 Unauthorized\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(RunVerb("status --node " + strict.url()).exit, 6);
+  EXPECT_EQ(strict.TakeRequest().rfind("GET /v1/status HTTP/1.1\r\n", 0), 0u);
+}
+
+}  // namespace
+}  // namespace sesamespread
--- /dev/null
+++ b/tools/sesamespread/verbs.h
@@ -0,0 +1,40 @@
+/// \file
+/// The verbs of the program, one function each; argv[0] is the verb's name.
+#ifndef SESAMESPREAD_TOOLS_SESAMESPREAD_VERBS_H_
+#define SESAMESPREAD_TOOLS_SESAMESPREAD_VERBS_H_
+
+#include <span>
+#include <string_view>
+
+/// Runs a node until it is told to stop.
+int RunNode(int argc, char** argv);
+
+/// Sends load to a service.
+int RunLoad(int argc, char** argv);
+
+namespace sesamespread::tools {
+
+/// A row of the table of verbs.
+struct Verb {
+  std::string_view name;
+  int (*run)(int argc, char** argv);
+  std::string_view help;
+};
+
+/// All verbs in the order of the help text.
+std::span<const Verb> Verbs();
+
+int RunCheck(int argc, char** argv);
+int RunDiff(int argc, char** argv);
+int RunApply(int argc, char** argv);
+int RunShow(int argc, char** argv);
+int RunHistory(int argc, char** argv);
+int RunRollback(int argc, char** argv);
+int RunExplain(int argc, char** argv);
+int RunStatus(int argc, char** argv);
+int RunDrain(int argc, char** argv);
+int RunCompletion(int argc, char** argv);
+
+}  // namespace sesamespread::tools
+
+#endif  // SESAMESPREAD_TOOLS_SESAMESPREAD_VERBS_H_
