--- a/tools/standins/execution_log.h
+++ b/tools/standins/execution_log.h
@@ -4,7 +4,6 @@
 #define SESAMESPREAD_TOOLS_STANDINS_EXECUTION_LOG_H_
 
 // Keeps cpprestsdk from defining a macro U, which fmt uses as a name.
-#define _TURN_OFF_PLATFORM_STRING
 #include <cpprest/json.h>
 
 #include <cstddef>
