Repeat probes of suspects and spread refutations at once

Change: the node that suspects first probes the suspect each second, refutations and new incarnations are pushed, one control is in the own zone, a sample without an answering control is repeated, and the budget is 18 KB in any second.

--- a/include/sesamespread/coordination/membership.h
+++ b/include/sesamespread/coordination/membership.h
@@ -96,9 +96,9 @@
   /// Budget of bytes sent and received, headers included, and of probes and
   /// acks without updates, which is used when the first is spent, so that load
   /// does not make a node look dead. On average a node receives as many
-  /// essential bytes as it sends, so that all of it adds up to 19 KB in any
-  /// second and to 13.5 KB/s for longer.
-  double bytes_per_second = 8'500;
+  /// essential bytes as it sends, so that all of it adds up to 18 KB in any
+  /// second and to 12.5 KB/s for longer.
+  double bytes_per_second = 7'500;
   double burst_bytes = 2'500;
   double essential_bytes_per_second = 2'500;
   double essential_burst_bytes = 1'500;
@@ -286,6 +286,8 @@
     std::uint32_t asked = 0;
     std::uint32_t acked = 0;
     std::uint32_t controls_acked = 0;
+    // A probe was above the byte budget.
+    bool refused = false;
     // Sampled nodes and controls that have neither acked nor timed out.
     std::uint32_t open = 0;
     // Nodes whose suspicion waits for the result.
@@ -302,6 +304,13 @@
     ZoneCheck check;
   };
 
+  struct Suspicion {
+    // When the node is declared dead.
+    state::Instant deadline{};
+    // For nodes that this one suspected first.
+    std::optional<state::Instant> next_probe;
+  };
+
   struct Update {
     state::NodeId node = 0;
     std::uint32_t transmissions = 0;
@@ -315,6 +324,7 @@
   void ForgetDead(state::Instant now);
   void UpdateIsolation(state::Instant now);
   void ProbeNext(state::Instant now);
+  void ProbeSuspects(state::Instant now);
   void ProbeDead(state::Instant now);
   void ContactSeeds(state::Instant now);
   void PullRecords(state::Instant now);
@@ -400,6 +410,7 @@
   bool IsLiveSlot(Slot slot) const;
   std::optional<Slot> RandomLiveSlot();
   std::optional<Slot> RandomLiveSlotOutside(std::uint16_t zone);
+  std::optional<Slot> RandomLiveSlotIn(std::uint16_t zone);
   std::vector<Slot> SampleZone(std::uint16_t zone);
   void Emit(MembershipEvent::Kind kind, Slot slot);
   void Emit(MembershipEvent::Kind kind, std::string zone);
@@ -429,8 +440,8 @@
   std::vector<Slot> probe_order_;
   std::size_t probe_position_ = 0;
   std::unordered_map<std::uint64_t, Pending> pending_;
-  // Deadlines of suspects, and when dead records are forgotten.
-  std::unordered_map<state::NodeId, state::Instant> suspects_;
+  std::unordered_map<state::NodeId, Suspicion> suspects_;
+  // When dead records are forgotten.
   std::unordered_map<state::NodeId, state::Instant> dead_;
   std::vector<Update> updates_;
 
--- a/lib/coordination/membership.cc
+++ b/lib/coordination/membership.cc
@@ -39,6 +39,9 @@
 constexpr std::uint32_t kLostBelowOneIn = 4;
 constexpr std::uint32_t kRecoveredFromOneIn = 2;
 
+// Suspects that are probed in one tick.
+constexpr std::size_t kMaxSuspectProbes = 4;
+
 // A node that has just started knows of fewer nodes than there are.
 constexpr double kMinDoublings = 4.0;
 
@@ -121,6 +124,7 @@
   ExpireSuspects(now);
   ForgetDead(now);
   ProbeNext(now);
+  ProbeSuspects(now);
   ProbeDead(now);
   ContactSeeds(now);
   PullRecords(now);
@@ -145,8 +149,8 @@
   for (ZoneState& zone : zones_)
     zone.check = {};
   own_zone_claim_.reset();
-  for (auto& [node, deadline] : suspects_)
-    deadline = now + SuspectTime();
+  for (auto& [node, suspicion] : suspects_)
+    suspicion.deadline = now + SuspectTime();
 }
 
 void Membership::ExpirePending(Instant now) {
@@ -163,8 +167,8 @@
   if (isolated_ || !HasEvidence(now))
     return;
   std::vector<state::NodeId> expired;
-  for (const auto& [node, deadline] : suspects_) {
-    if (deadline <= now)
+  for (const auto& [node, suspicion] : suspects_) {
+    if (suspicion.deadline <= now)
       expired.push_back(node);
   }
   for (const state::NodeId node : expired) {
@@ -205,8 +209,8 @@
     return;
   isolated_ = isolated;
   // Time spent in isolation does not count against others.
-  for (auto& [node, deadline] : suspects_)
-    deadline = now + SuspectTime();
+  for (auto& [node, suspicion] : suspects_)
+    suspicion.deadline = now + SuspectTime();
   Emit(isolated ? MembershipEvent::Kind::kIsolated
                 : MembershipEvent::Kind::kNotIsolated,
        std::string());
@@ -545,6 +549,7 @@
   const bool started =
       !found || record.incarnation != table_.incarnation(*found);
   bool own_statement = true;
+  bool refuted = false;
   if (found) {
     if (!IsNewerThan(record, *found))
       return false;
@@ -552,6 +557,7 @@
     own_statement = started || record.sequence != table_.sequence(*found);
     if (!own_statement && IsZoneLost(table_.zone(*found)))
       return false;
+    refuted = own_statement && table_.liveness(*found) != Liveness::kAlive;
   } else if (record.liveness == Liveness::kDead) {
     return false;
   } else if (table_.size() >= options_.max_members) {
@@ -566,7 +572,7 @@
   if (!found)
     AddToProbeOrder(*slot);
   TrackLiveness(*slot, now);
-  const bool urgent = started ||
+  const bool urgent = started || refuted ||
                       record.backend_state == BackendState::kLeaving ||
                       (own_statement && record.liveness == Liveness::kDead);
   if (spread)
@@ -601,7 +607,7 @@
   const state::NodeId node = table_.node(slot);
   const Liveness liveness = table_.liveness(slot);
   if (liveness == Liveness::kSuspect)
-    suspects_.emplace(node, now + SuspectTime());
+    suspects_.emplace(node, Suspicion{now + SuspectTime(), std::nullopt});
   else
     suspects_.erase(node);
   if (liveness == Liveness::kDead)
@@ -619,11 +625,30 @@
   TrackLiveness(*slot, now);
   Enqueue(node, false, now);
   Emit(MembershipEvent::Kind::kRecordChanged, *slot);
-  // Tells the node itself, the shortest way to a refutation.
-  SendOptions options;
-  options.first_update = table_.Get(*slot);
-  Send(table_.gossip(*slot), MakeMessage(GossipKind::kProbe, random_()),
-       options, now);
+  suspects_[node].next_probe = now;
+  ProbeSuspects(now);
+}
+
+// Tells the nodes that were found suspect here of it, the shortest way to a
+// refutation, and again while the suspicion lasts, as the node or the datagram
+// may have been held up.
+void Membership::ProbeSuspects(Instant now) {
+  std::size_t sent = 0;
+  for (auto& [node, suspicion] : suspects_) {
+    if (!suspicion.next_probe || *suspicion.next_probe > now)
+      continue;
+    if (++sent > kMaxSuspectProbes)
+      return;
+    suspicion.next_probe = now + options_.probe_interval;
+    const auto slot = table_.Find(node);
+    assert(slot && "a suspect has a record");
+    SendOptions options;
+    options.essential = true;
+    options.bare = true;
+    options.first_update = table_.Get(*slot);
+    Send(table_.gossip(*slot), MakeMessage(GossipKind::kProbe, random_()),
+         options, now);
+  }
 }
 
 void Membership::ApplyRecords(const std::vector<NodeRecord>& records,
@@ -708,14 +733,16 @@
 void Membership::StartZoneCheck(std::uint16_t zone, Instant now) {
   ZoneCheck& check = Zone(zone).check;
   check.number = ++last_check_;
-  check.asked = 0;
-  check.acked = 0;
-  check.controls_acked = 0;
   // Held open until all probes are out.
   check.open = 1;
   for (const Slot slot : SampleZone(zone))
     SendZoneProbe(slot, Pending::Kind::kZoneSample, zone, now);
-  for (std::size_t i = 0; i < options_.zone_controls; ++i) {
+  // In a partition between regions, the own zone is what can be reached.
+  const auto own =
+      zone == own_zone_ ? std::nullopt : RandomLiveSlotIn(own_zone_);
+  if (own)
+    SendZoneProbe(*own, Pending::Kind::kZoneControl, zone, now);
+  for (std::size_t i = own ? 1 : 0; i < options_.zone_controls; ++i) {
     if (const auto slot = RandomLiveSlotOutside(zone))
       SendZoneProbe(*slot, Pending::Kind::kZoneControl, zone, now);
   }
@@ -732,9 +759,11 @@
   pending.node = table_.node(slot);
   pending.zone = zone;
   pending.check = Zone(zone).check.number;
-  if (!SendProbe(std::move(pending), table_.gossip(slot), now))
-    return;
   ZoneCheck& check = Zone(zone).check;
+  if (!SendProbe(std::move(pending), table_.gossip(slot), now)) {
+    check.refused = true;
+    return;
+  }
   ++check.open;
   if (kind == Pending::Kind::kZoneSample)
     ++check.asked;
@@ -760,6 +789,13 @@
   state.next_check = now + options_.zone_check_interval;
   const bool enough = check.asked >= options_.min_zone_sample;
   const bool most = check.acked * kRecoveredFromOneIn >= check.asked;
+  // The budget was spent: the next failure is a new try, or a look at the own
+  // zone a second later.
+  if (check.refused && !enough) {
+    const bool look = state.lost || own_zone_claim_;
+    state.next_check = look ? now + options_.probe_interval : now;
+    return;
+  }
   if (zone == own_zone_ && own_zone_claim_) {
     const std::uint32_t claim = *std::exchange(own_zone_claim_, std::nullopt);
     // A zone too small to be sampled is not lost: this node is alive.
@@ -775,9 +811,12 @@
     return;
   }
   const bool lost = enough && check.acked * kLostBelowOneIn < check.asked;
-  // Neither the zone nor the controls answer: the fault is on this side.
-  if (lost && check.controls_acked == 0)
+  // Neither the zone nor the controls answer: the fault may be on this side,
+  // and the next failure is a new try.
+  if (lost && check.controls_acked == 0) {
+    state.next_check = now;
     return;
+  }
   if (lost && now >= state.hold_down_until) {
     SetZone(zone, true, state.sequence + 1, now);
     return;
@@ -1106,6 +1145,19 @@
   return std::nullopt;
 }
 
+std::optional<Membership::Slot> Membership::RandomLiveSlotIn(
+    std::uint16_t zone) {
+  std::optional<Slot> chosen;
+  std::uint64_t seen = 0;
+  for (Slot slot = 0; slot < table_.slot_count(); ++slot) {
+    if (table_.IsUsed(slot) && table_.zone(slot) == zone &&
+        table_.node(slot) != own_.node && IsLiveSlot(slot) &&
+        random_() % ++seen == 0)
+      chosen = slot;
+  }
+  return chosen;
+}
+
 std::vector<Membership::Slot> Membership::SampleZone(std::uint16_t zone) {
   const std::vector<state::NodeId>& failed = Zone(zone).check.failed;
   std::vector<Slot> sample;
