--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,7 @@
 
 clean:
 	rm -rf build build-asan build-tsan build-fuzz
+
+# A deployment of separate processes, a surge, and a table of the outcome.
+demo: build
+	build/bench/demo
--- a/bench/harness/cluster.cc
+++ b/bench/harness/cluster.cc
@@ -27,6 +27,9 @@
   return pattern;
 }
 
+// Token of the operators' ports.
+constexpr char kToken[] = "bench-token";
+
 // Reads "listening <port>" from a stand-in.
 std::uint16_t ReadPort(Process& process, const std::string& what) {
   const std::string line = process.ReadLine(kLineTimeout);
@@ -67,6 +70,7 @@
 
 Cluster::Cluster(ClusterSpec spec)
     : spec_(std::move(spec)), directory_(MakeDirectory()) {
+  std::ofstream(TokenFile()) << kToken << "\n";
   StartPlatform();
   ApplyInventory();
   std::size_t index = 0;
@@ -141,10 +145,11 @@
       "  caller: \"127.0.0.1:{}\"\n  backend: \"127.0.0.1:{}\"\n"
       "  peer: \"127.0.0.1:{}\"\n  gossip: \"127.0.0.1:{}\"\n"
       "  operator: \"127.0.0.1:{}\"\nplatform:\n  url: \"{}\"\n"
-      "  timeout: 1s\nseeds: [{}]\nadmission: {}\n{}",
+      "  timeout: 1s\nseeds: [{}]\nadmission: {}\n"
+      "operator:\n  token_file: {}\n{}",
       host.name, host.zone, host.ports.caller, host.ports.backend,
       host.ports.peer, host.ports.gossip, host.ports.operators, PlatformUrl(),
-      seeds, spec_.admission, spec_.node_settings);
+      seeds, spec_.admission, TokenFile(), spec_.node_settings);
 }
 
 void Cluster::StartNode(Host& host) {
@@ -200,7 +205,7 @@
         for (const Host& host : hosts_) {
           if (!host.node)
             continue;
-          const HttpResult status = Get(host.ports.operators, "/v1/status");
+          const HttpResult status = OperatorGet(host, "/v1/status");
           if (status.status != 200 ||
               CountOf(status.body,
                       "\"backend_state\":\"serving\",\"liveness\"") <
@@ -220,6 +225,17 @@
   Post(host.backend_port, "/-/control", json);
 }
 
+HttpResult Cluster::OperatorGet(const Host& host, const std::string& target) {
+  transport::HttpRequest request;
+  request.target = target;
+  request.headers = {{"Authorization", std::string("Bearer ") + kToken}};
+  return Fetch(host.ports.operators, request);
+}
+
+std::string Cluster::TokenFile() const {
+  return directory_ + "/operator.token";
+}
+
 RunResult Cluster::RunVerb(std::vector<std::string> arguments) {
   arguments.insert(arguments.begin(), BinaryDir() + "/tools/sesamespread");
   return RunProgram(arguments, directory_ + "/verbs.log",
--- a/bench/harness/cluster.h
+++ b/bench/harness/cluster.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "harness/http.h"
 #include "harness/process.h"
 
 namespace sesamespread::bench {
@@ -92,6 +93,11 @@
   /// Changes how a backend server behaves; see `standins backend`.
   static void ControlBackend(const Host& host, const std::string& json);
 
+  /// Asks the operators' port of \p host's node.
+  static HttpResult OperatorGet(const Host& host, const std::string& target);
+  /// File with the token of the operators' ports.
+  std::string TokenFile() const;
+
   /// Runs `sesamespread` with \p arguments.
   RunResult RunVerb(std::vector<std::string> arguments);
   std::string PlatformUrl() const;
--- a/lib/transport/operator_api.cc
+++ b/lib/transport/operator_api.cc
@@ -4,14 +4,13 @@
 
 #include <cpprest/http_listener.h>
 #include <openssl/crypto.h>
-#include <pplx/threadpool.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <map>
-#include <mutex>
 #include <utility>
 
 #include "sesamespread/state/result_code.h"
+#include "sesamespread/transport/rest_threads.h"
 #include "status_page.h"
 
 namespace sesamespread::transport {
@@ -22,9 +21,6 @@
 using web::http::experimental::listener::http_listener;
 using web::http::experimental::listener::http_listener_config;
 
-// The port is for a few operators and one metrics collector.
-constexpr std::size_t kListenerThreads = 2;
-
 constexpr std::chrono::seconds kRequestTimeout{5};
 
 // Tries to take a free port this often; another process may take it first.
@@ -44,20 +40,13 @@
          CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
-void StartThreadPool() {
-  static std::once_flag once;
-  std::call_once(once, [] {
-    crossplat::threadpool::initialize_with_threads(kListenerThreads);
-  });
-}
-
 }  // namespace
 
 class OperatorApi::Impl {
  public:
   Impl(const OperatorApiOptions& options, OperatorBackend& backend)
       : options_(options), backend_(backend) {
-    StartThreadPool();
+    LimitRestThreads();
     for (int attempt = 1;; ++attempt) {
       port_ = options.endpoint.port != 0 ? options.endpoint.port
                                          : FreePort(options.endpoint.address);
