Make the library comparison pass clang-tidy

Cause: a reserved macro name and a copied parameter were reported. Change: name the reason for the macro, and pass the parameter by reference. Conclusion: no change of behaviour.

--- a/bench/http_library.cc
+++ b/bench/http_library.cc
@@ -2,7 +2,8 @@
 /// Latency that one relay adds, written with cpprestsdk and with the server and
 /// client of sesamespread, which stand on Boost.Beast. One caller sends
 /// keep-alive requests in turn over loopback; answers have 256 bytes.
-#define _TURN_OFF_PLATFORM_STRING
+// Keeps cpprestsdk from defining a macro U, which fmt uses as a name.
+#define _TURN_OFF_PLATFORM_STRING  // NOLINT(bugprone-reserved-identifier)
 #include <cpprest/http_client.h>
 #include <cpprest/http_listener.h>
 #include <fmt/format.h>
@@ -71,8 +72,8 @@
         server_(context_,
                 Loopback(0),
                 HttpServerOptions{},
-                [this, backend](std::shared_ptr<HttpExchange> exchange) {
-                  Relay(backend, std::move(exchange));
+                [this, backend](const std::shared_ptr<HttpExchange>& exchange) {
+                  Relay(backend, exchange);
                 }),
         thread_([this] { context_.run(); }) {}
   ~BeastRelay() { context_.stop(); }
@@ -80,7 +81,8 @@
   std::uint16_t port() const { return server_.port(); }
 
  private:
-  void Relay(std::uint16_t backend, std::shared_ptr<HttpExchange> exchange) {
+  void Relay(std::uint16_t backend,
+             const std::shared_ptr<HttpExchange>& exchange) {
     const auto deadline =
         std::chrono::time_point_cast<sesamespread::state::Duration>(
             steady_clock::now() + kTimeout);
