--- a/tools/sesamespread/load.cc
+++ b/tools/sesamespread/load.cc
@@ -1,7 +1,5 @@
 /// \file
 /// The verb `load`: sends the requests of a scenario and prints the results.
-#include "load.h"
-
 #include <fmt/format.h>
 
 #include <boost/asio/io_context.hpp>
@@ -14,17 +12,14 @@
 #include <string>
 #include <vector>
 
+#include "exit_codes.h"
 #include "sesamespread/state/settings.h"
 #include "sesamespread/transport/load_generator.h"
+#include "verbs.h"
 
 namespace sesamespread::tools {
 namespace {
 
-constexpr int kExitOk = 0;
-constexpr int kExitWrongAnswers = 1;
-constexpr int kExitUsage = 2;
-constexpr int kExitInvalid = 3;
-
 constexpr std::chrono::seconds kProgressInterval{1};
 
 constexpr char kExamples[] =
@@ -170,7 +165,7 @@
   };
   const bool wrong = count(transport::LoadEnd::kWrong) > 0 ||
                      count(transport::LoadEnd::kTruncated) > 0;
-  return wrong ? kExitWrongAnswers : kExitOk;
+  return wrong ? kExitFailed : kExitOk;
 }
 
 cxxopts::Options CommandLine() {
--- a/tools/standins/main.cc
+++ b/tools/standins/main.cc
@@ -9,6 +9,7 @@
 int main(int argc, char** argv) {
   const std::map<std::string, int (*)(int, char**)> programs = {
       {"backend", RunBackend},
+      {"platform", RunPlatform},
   };
   const auto program = programs.find(argc > 1 ? argv[1] : "");
   if (program != programs.end())
