Keep contacting seeds after the join

Cause: a node that another one had probed before it contacted its own seeds counted as joined and never contacted them; ten nodes started together ended as two islands (8 and 2 nodes) that did not merge. Conclusion: join must not depend on who speaks first.

--- a/include/sesamespread/coordination/membership.h
+++ b/include/sesamespread/coordination/membership.h
@@ -44,6 +44,9 @@
   state::Duration probe_interval = std::chrono::seconds(1);
   /// Longest mean time between contacts of a seed.
   state::Duration max_seed_interval = std::chrono::seconds(8);
+  /// Mean time between contacts of a seed once joined, for each member. If all
+  /// nodes share three seeds, each gets 7 messages a second at any size.
+  state::Duration seed_interval_per_member = std::chrono::milliseconds(50);
   /// Above the round trip between the farthest regions (about 300 ms).
   state::Duration ack_timeout = std::chrono::milliseconds(500);
   std::size_t indirect_probes = 3;
--- a/lib/coordination/membership.cc
+++ b/lib/coordination/membership.cc
@@ -269,11 +269,20 @@
 // One seed at a time with a growing interval, since the nodes of a zone that
 // starts again all contact the same seeds.
 void Membership::ContactSeeds(Instant now) {
-  if ((joined_ && !isolated_) || now < next_seed_contact_ || seeds_.empty())
+  if (now < next_seed_contact_ || seeds_.empty())
     return;
   const state::Endpoint& seed = seeds_[random_() % seeds_.size()];
+  // Nodes that start together may find each other before their seeds, or hear
+  // of each other by one that has not contacted its own. Seeds are contacted for
+  // good, but rarely once joined, so that such islands merge.
+  if (joined_ && !isolated_)
+    seed_interval_ =
+        std::max(options_.max_seed_interval,
+                 options_.seed_interval_per_member *
+                     static_cast<std::int64_t>(table_.size()));
   next_seed_contact_ = now + seed_interval_ / 2 + Jitter(seed_interval_);
-  seed_interval_ = std::min(2 * seed_interval_, options_.max_seed_interval);
+  if (!joined_ || isolated_)
+    seed_interval_ = std::min(2 * seed_interval_, options_.max_seed_interval);
   if (seed == own_.gossip)
     return;
   SendOptions options;
