--- a/tools/standins/platform.cc
+++ b/tools/standins/platform.cc
@@ -143,7 +143,7 @@
                    R"({"detail": "too many calls"})");
     }
     ++(is_read ? reads_ : writes_);
-    const std::string path = uri.path();
+    const std::string& path = uri.path();
     const Query query = web::uri::split_query(uri.query());
     if (path == "/table/tx" && request.method() == http::verb::post)
       return Transaction(value::parse(request.body()));
