--- a/bench/http_library.cc
+++ b/bench/http_library.cc
@@ -2,8 +2,6 @@
 /// Latency that one relay adds, written with cpprestsdk and with the server and
 /// client of sesamespread, which stand on Boost.Beast. One caller sends
 /// keep-alive requests in turn over loopback; answers have 256 bytes.
-// Keeps cpprestsdk from defining a macro U, which fmt uses as a name.
-#define _TURN_OFF_PLATFORM_STRING  // NOLINT(bugprone-reserved-identifier)
 #include <cpprest/http_client.h>
 #include <cpprest/http_listener.h>
 #include <fmt/format.h>
--- a/tools/sesamespread/load.cc
+++ b/tools/sesamespread/load.cc
@@ -163,6 +163,7 @@
   const auto count = [&](transport::LoadEnd end) {
     return total.ends[static_cast<std::size_t>(end)];
   };
+  // Answers that are wrong or cut short fail the run, whatever the goodput.
   const bool wrong = count(transport::LoadEnd::kWrong) > 0 ||
                      count(transport::LoadEnd::kTruncated) > 0;
   return wrong ? kExitFailed : kExitOk;
--- a/tools/standins/execution_log.h
+++ b/tools/standins/execution_log.h
@@ -3,7 +3,6 @@
 #ifndef SESAMESPREAD_TOOLS_STANDINS_EXECUTION_LOG_H_
 #define SESAMESPREAD_TOOLS_STANDINS_EXECUTION_LOG_H_
 
-// Keeps cpprestsdk from defining a macro U, which fmt uses as a name.
 #include <cpprest/json.h>
 
 #include <cstddef>
