--- a/bench/deployments.cc
+++ b/bench/deployments.cc
@@ -22,8 +22,8 @@
   spec.zones = {"litoral-a", "cuyo-a", "litoral-b", "cuyo-b"};
   spec.admission = admission;
   spec.services = {
-      {"orders", servers, 160, 1100, 5, "inventory:GET:/stock,ledger:POST:/entries",
-       kFixed},
+      {"orders", servers, 160, 1100, 5,
+       "inventory:GET:/stock,ledger:POST:/entries", kFixed},
       {"inventory", servers, 160, 1100, 5, "prices:GET:/price", kFixed},
       {"prices", servers, 15, 200, deployment.deep_service_time_ms, "", kFixed},
       {"ledger", servers, 160, 1100, 5, "", kFixed},
@@ -43,14 +43,13 @@
   spec.inventory = SourceDir() + "/examples/lembaga.yaml";
   spec.zones = {"shah-alam", "kota-kinabalu", "johor-bahru", "kuching"};
   spec.admission = admission;
-  spec.services = {
-      {"booking-system", servers, 130, 900, 5, "candle-inventory:GET:/stock",
-       kFixed},
-      {"schedule-portal", servers, 130, 900, 5, "candle-inventory:GET:/stock",
-       kFixed},
-      {"archive", servers, 130, 900, 5, "", kFixed},
-      {"candle-inventory", servers, 30, 300, deployment.deep_service_time_ms,
-       "", kFixed}};
+  spec.services = {{"booking-system", servers, 130, 900, 5,
+                    "candle-inventory:GET:/stock", kFixed},
+                   {"schedule-portal", servers, 130, 900, 5,
+                    "candle-inventory:GET:/stock", kFixed},
+                   {"archive", servers, 130, 900, 5, "", kFixed},
+                   {"candle-inventory", servers, 30, 300,
+                    deployment.deep_service_time_ms, "", kFixed}};
   return deployment;
 }
 
--- a/bench/deployments.h
+++ b/bench/deployments.h
@@ -24,9 +24,7 @@
   std::string browse_path;
 
   /// Requests per second that the deep service can serve.
-  double capacity() const {
-    return deep_slots * 1000.0 / deep_service_time_ms;
-  }
+  double capacity() const { return deep_slots * 1000.0 / deep_service_time_ms; }
 };
 
 /// Colmenar del Sur; \p servers backend servers a service.
--- a/lib/coordination/membership.cc
+++ b/lib/coordination/membership.cc
@@ -273,13 +273,12 @@
     return;
   const state::Endpoint& seed = seeds_[random_() % seeds_.size()];
   // Nodes that start together may find each other before their seeds, or hear
-  // of each other by one that has not contacted its own. Seeds are contacted for
-  // good, but rarely once joined, so that such islands merge.
+  // of each other by one that has not contacted its own. Seeds are contacted
+  // for good, but rarely once joined, so that such islands merge.
   if (joined_ && !isolated_)
-    seed_interval_ =
-        std::max(options_.max_seed_interval,
-                 options_.seed_interval_per_member *
-                     static_cast<std::int64_t>(table_.size()));
+    seed_interval_ = std::max(options_.max_seed_interval,
+                              options_.seed_interval_per_member *
+                                  static_cast<std::int64_t>(table_.size()));
   next_seed_contact_ = now + seed_interval_ / 2 + Jitter(seed_interval_);
   if (!joined_ || isolated_)
     seed_interval_ = std::min(2 * seed_interval_, options_.max_seed_interval);
--- a/tools/sesamespread/node.cc
+++ b/tools/sesamespread/node.cc
@@ -47,8 +47,8 @@
   Command command("node", "Runs the node beside a backend server.", "",
                   kExamples);
   command.Add()("settings", "Settings file (YAML)",
-                cxxopts::value<std::string>(), "FILE")(
-      "check-only", "Check the settings and exit");
+                cxxopts::value<std::string>(),
+                "FILE")("check-only", "Check the settings and exit");
   return command.Run(argc, argv, [&command] { return RunWith(command); });
 }
 
