--- a/Makefile
+++ b/Makefile
@@ -30,10 +30,10 @@
 	clang-format -i $(SOURCES)
 
 format-check: setup
-	clang-format --dry-run -Werror $(SOURCES)
+	@clang-format --dry-run -Werror $(SOURCES)
 
 lint: build
-	printf '%s\n' $(TIDY_SOURCES) | xargs -P $(JOBS) -n 1 clang-tidy -p build --quiet
+	@printf '%s\n' $(TIDY_SOURCES) | xargs -P $(JOBS) -n 1 clang-tidy -p build --quiet
 
 check: setup format-check lint test
 
--- a/lib/transport/data_plane.cc
+++ b/lib/transport/data_plane.cc
@@ -216,8 +216,9 @@
         dispatcher_.thresholds().EntryThreshold(name, now);
     if (threshold < state::kPriorityCount)
       status.thresholds.push_back({name, threshold});
-    for (coordination::ServerView& view : dispatcher_.router().View(name, now))
-      status.servers.push_back(std::move(view));
+    for (const coordination::ServerView& view :
+         dispatcher_.router().View(name, now))
+      status.servers.push_back(view);
   }
   return status;
 }
