Compare the configuration versions of several nodes by status

Cause: no verb named the nodes that lag behind in configuration. Gossip records carry no version of each node, so one node's status can't tell. A node that does not answer is named and ends with exit code 8, without hiding the others. Conclusion: an operator can check a change on all nodes by one call.

--- a/test/operations/operations_test.cc
+++ b/test/operations/operations_test.cc
@@ -396,5 +396,38 @@
   EXPECT_EQ(strict.TakeRequest().rfind("GET /v1/status HTTP/1.1\r\n", 0), 0u);
 }
 
+std::string StatusReply(const std::string& name, int version, int seen) {
+  const std::string body =
+      "{\"name\": \"" + name +
+      "\", \"configuration_version\": " + std::to_string(version) +
+      ", \"highest_seen_version\": " + std::to_string(seen) + "}";
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+// Guards against a node that stays on an old configuration unseen, also if
+// another node of the comparison does not answer.
+TEST(NodeCallTest, StatusOfSeveralNodesNamesThoseBehind) {
+  OneReplyServer first(StatusReply("orders-1", 9, 9));
+  OneReplyServer second(StatusReply("prices-1", 7, 9));
+  const VerbResult compared =
+      RunVerb("status --node " + first.url() + " --node " + second.url());
+  EXPECT_EQ(compared.exit, 0) << compared.output;
+  EXPECT_NE(compared.output.find("orders-1: version 9, in force"),
+            std::string::npos)
+      << compared.output;
+  EXPECT_NE(compared.output.find("prices-1: version 7, 2 behind"),
+            std::string::npos)
+      << compared.output;
+  OneReplyServer third(StatusReply("plans-1", 3, 4));
+  const VerbResult partial = RunVerb(
+      "status --output json --node http://127.0.0.1:1 --node " + third.url());
+  EXPECT_EQ(partial.exit, 8) << partial.output;
+  EXPECT_NE(partial.output.find("\"newest_version\": 4"), std::string::npos)
+      << partial.output;
+  EXPECT_NE(partial.output.find("\"behind\": 1"), std::string::npos)
+      << partial.output;
+}
+
 }  // namespace
 }  // namespace sesamespread
