--- a/lib/transport/status_page.h
+++ b/lib/transport/status_page.h
@@ -16,10 +16,11 @@
 </style></head><body>
 <h1 id="title">sesamespread node</h1>
 <p><label>Token <input id="token" type="password" size="30"></label>
-<span id="error" class="bad"></span></p>
+<span id="error" class="bad"></span> <span id="time"></span></p>
 <h2>Configuration and load</h2><table id="summary"></table>
-<h2>Nodes</h2><table id="nodes"></table>
+<h2 id="nodes-title">Nodes</h2><table id="nodes"></table>
 <h2>Servers in use by this node</h2><table id="servers"></table>
+<h2>Services that this node sheds for</h2><table id="thresholds"></table>
 <h2>Refusals and results</h2><table id="results"></table>
 <script>
 const byId = id => document.getElementById(id);
@@ -42,17 +43,38 @@
 async function refresh() {
   try {
     const answer = await fetch('/v1/status', {headers: headers()});
-    if (!answer.ok) throw new Error('status ' + answer.status);
+    if (answer.status === 401)
+      throw new Error(byId('token').value ? 'the node refused the token' :
+                                            "enter the operators' token");
+    if (!answer.ok) throw new Error('the node answered ' + answer.status);
     const s = await answer.json();
     byId('title').textContent = 'sesamespread node ' + s.name;
     fill('summary', ['field', 'value'],
          Object.entries(s).filter(([, v]) => typeof v !== 'object'));
-    fill('nodes', ['node', 'zone', 'service', 'backend server', 'live'],
-         s.nodes.map(n => [n.name, n.zone, n.service, n.backend_state, n.live]));
-    fill('servers', ['node', 'distance', 'in flight', 'latency us', 'refusals'],
-         s.servers.map(v => [(s.nodes.find(n => n.node === v.node) || v).name ||
-                              v.node, v.distance, v.in_flight, v.latency_us,
-                             v.refusal_rate]));
+    const warnings = [];
+    if (s.isolated) warnings.push('isolated: no other node is heard');
+    if (s.configuration_version < s.highest_seen_version)
+      warnings.push('configuration is ' +
+        (s.highest_seen_version - s.configuration_version) + ' versions behind');
+    if (s.stopping) warnings.push('stopping');
+    else if (!s.ready) warnings.push('not ready');
+    byId('nodes-title').textContent =
+        'Nodes (' + s.nodes.length + ' of ' + s.nodes_known + ')';
+    fill('nodes',
+         ['node', 'zone', 'service', 'backend server', 'liveness', 'live'],
+         s.nodes.map(n => [n.name, n.zone, n.service, n.backend_state,
+                           n.liveness, n.live]));
+    const nodes = new Map(s.nodes.map(n => [n.node, n]));
+    fill('servers',
+         ['node', 'service', 'distance', 'in flight', 'latency us', 'refusals',
+          'ejected', 'unreachable'],
+         s.servers.map(v => {
+           const n = nodes.get(v.node) || {name: v.node, service: ''};
+           return [n.name, n.service, v.distance, v.in_flight, v.latency_us,
+                   v.refusal_rate, v.ejected, v.unreachable];
+         }));
+    fill('thresholds', ['service', 'threshold of 384'],
+         s.thresholds.map(t => [t.service, t.threshold]));
     const metrics = await (await fetch('/metrics', {headers: headers()})).text();
     const rows = [];
     for (const line of metrics.split('\n')) {
@@ -61,7 +83,8 @@
       if (m) rows.push([m[2], m[1], m[3]]);
     }
     fill('results', ['service', 'result', 'requests'], rows);
-    byId('error').textContent = '';
+    byId('error').textContent = warnings.join('; ');
+    byId('time').textContent = 'as of ' + new Date().toLocaleTimeString();
   } catch (error) {
     byId('error').textContent = error.message;
   }
