Contact the seeds after every join, as often as the size allows

Change: once joined, the next contact is drawn from 500 ms times the number of known nodes: 4 contacts a second over all seeds at any size. Conclusion: islands merge within seconds in small deployments and the rate at the seeds does not grow with the size.

--- a/include/sesamespread/coordination/membership.h
+++ b/include/sesamespread/coordination/membership.h
@@ -44,9 +44,8 @@
   state::Duration probe_interval = std::chrono::seconds(1);
   /// Longest mean time between contacts of a seed.
   state::Duration max_seed_interval = std::chrono::seconds(8);
-  /// Mean time between contacts of a seed once joined, for each member: all
-  /// seeds together get 2 contacts a second at any size. At 20 a second, a seed
-  /// of 200 nodes had to handle 66 KB/s.
+  /// Longest time to the next contact of a seed once joined, for each member:
+  /// all seeds together get 4 contacts a second at any size.
   state::Duration seed_interval_per_member = std::chrono::milliseconds(500);
   /// Above the round trip between the farthest regions (about 300 ms).
   state::Duration ack_timeout = std::chrono::milliseconds(500);
@@ -335,6 +334,7 @@
   void ProbeNext(state::Instant now);
   void ProbeSuspects(state::Instant now);
   void ProbeDead(state::Instant now);
+  void DeferSeedContact(state::Instant now);
   void ContactSeeds(state::Instant now);
   void PullRecords(state::Instant now);
   void CheckOwnZone(state::Instant now);
--- a/lib/coordination/membership.cc
+++ b/lib/coordination/membership.cc
@@ -272,20 +272,25 @@
 
 // One seed at a time with a growing interval, since the nodes of a zone that
 // starts again all contact the same seeds.
+// Nodes that start together may find each other before their seeds do, as
+// islands that do not know of each other. Seeds are contacted for good, though
+// rarely in a large deployment, so that islands merge.
+void Membership::DeferSeedContact(Instant now) {
+  const auto members = static_cast<std::int64_t>(table_.size());
+  next_seed_contact_ =
+      now + Jitter(options_.seed_interval_per_member * members);
+}
+
 void Membership::ContactSeeds(Instant now) {
   if (now < next_seed_contact_ || seeds_.empty())
     return;
   const state::Endpoint& seed = seeds_[random_() % seeds_.size()];
-  // Nodes that start together may find each other before their seeds, or hear
-  // of each other by one that has not contacted its own. Seeds are contacted
-  // for good, but rarely once joined, so that such islands merge.
-  if (joined_ && !isolated_)
-    seed_interval_ = std::max(options_.max_seed_interval,
-                              options_.seed_interval_per_member *
-                                  static_cast<std::int64_t>(table_.size()));
-  next_seed_contact_ = now + seed_interval_ / 2 + Jitter(seed_interval_);
-  if (!joined_ || isolated_)
+  if (joined_ && !isolated_) {
+    DeferSeedContact(now);
+  } else {
+    next_seed_contact_ = now + seed_interval_ / 2 + Jitter(seed_interval_);
     seed_interval_ = std::min(2 * seed_interval_, options_.max_seed_interval);
+  }
   if (seed == own_.gossip)
     return;
   SendOptions options;
@@ -495,6 +500,7 @@
   }
   if (!joined_ && message.kind != GossipKind::kJoin) {
     joined_ = true;
+    DeferSeedContact(now);
     // The first answer may come from a node that has just started too, and not
     // know much.
     next_records_pull_ =
@@ -675,7 +681,10 @@
   if (!next_records_pull_)
     next_records_pull_ =
         now + options_.second_pull_after + Jitter(options_.second_pull_after);
-  joined_ = joined_ || table_.size() > 1;
+  if (!joined_ && table_.size() > 1) {
+    joined_ = true;
+    DeferSeedContact(now);
+  }
 }
 
 void Membership::OwnChanged(bool urgent, Instant now) {
--- a/unittests/coordination/membership_test.cc
+++ b/unittests/coordination/membership_test.cc
@@ -299,6 +299,27 @@
   EXPECT_TRUE(AllLive(network));
 }
 
+// Guards against a node that counts as joined because a later one has probed
+// it, and never contacts its own seed: the two then stay an island.
+TEST(MembershipTest, ANodeThatWasProbedFirstStillFindsItsSeed) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    FakeNetwork network(1, 1, false, seed);
+    const state::Endpoint first = network[0].own().gossip;
+    const NodeRecord second = MakeNodeRecord(1, "zone-0");
+    network.Start(second, {first});
+    network.Start(MakeNodeRecord(2, "zone-0"), {second.gossip});
+    GossipMessage probe;
+    probe.kind = GossipKind::kProbe;
+    probe.from = network[2].own();
+    network[1].Receive(probe, EncodedBytesBound(probe), network.now);
+    const auto time = network.RunUntil(std::chrono::seconds(20), [&] {
+      return network.All(
+          [](Membership& membership) { return membership.size() == 3; });
+    });
+    EXPECT_NE(time, kNever) << "seed " << seed;
+  }
+}
+
 // Guards against a seed that is out of order keeping a node alone silently.
 TEST(MembershipTest, ANodeWhoseSeedIsDownSaysThatItIsIsolated) {
   FakeNetwork network(2, 1, false);
