Tell a new backend server from a leaving one, and refund refused repeats

Cause: a backend server that came back at the address of one that had left was never used again, a replaced node waited up to 5 s for its backend server, and an order that came back politely after three refusals was refused for good, since each repeat spent its allotment. Change: announcements name an instance and come each second; a repeat that certainly did not run gets its unit back; subsets follow the call graph and the links a node accepts instead of the backend server's connections, which only its own node uses.

--- a/include/sesamespread/coordination/retry_budget.h
+++ b/include/sesamespread/coordination/retry_budget.h
@@ -100,6 +100,10 @@
   /// Deducts one unit; false if none remains. For repeats by the caller.
   bool Spend(Ticket ticket);
 
+  /// Gives back one unit that Spend took, for a repeat that certainly did not
+  /// run. Never raises the entry above its allotment.
+  void Refund(Ticket ticket);
+
   /// What remains in the entry; 0 for an unknown ticket.
   std::uint32_t Remaining(Ticket ticket) const;
 
--- a/include/sesamespread/transport/call_dispatcher.h
+++ b/include/sesamespread/transport/call_dispatcher.h
@@ -62,9 +62,11 @@
   void SetConfiguration(
       std::shared_ptr<const state::Configuration> configuration);
 
-  /// The servers of \p service as known by gossip.
+  /// The servers of \p service as known by gossip, and the number of nodes
+  /// known in all.
   void SetServers(const std::string& service,
-                  std::vector<state::NodeRecord> servers);
+                  std::vector<state::NodeRecord> servers,
+                  std::size_t nodes_known);
 
   /// A server said that it leaves; it gets no new call from now on.
   void OnLeaveNotice(state::NodeId node, state::Incarnation incarnation);
@@ -150,6 +152,7 @@
   coordination::ThresholdTable thresholds_;
   coordination::NodeRetryBudget retry_budget_;
   std::map<std::string, ServiceState, std::less<>> services_;
+  std::size_t nodes_known_ = 0;
   std::unordered_map<Handle, Call> calls_;
   Handle next_handle_ = 1;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/sesamespread/transport/control_plane.h
+++ b/include/sesamespread/transport/control_plane.h
@@ -51,7 +51,8 @@
   virtual void OnConfiguration(
       std::shared_ptr<const state::Configuration> configuration) = 0;
   virtual void OnServers(const std::string& service,
-                         std::vector<state::NodeRecord> servers) = 0;
+                         std::vector<state::NodeRecord> servers,
+                         std::size_t nodes_known) = 0;
   virtual void OnSendControl(state::NodeId node,
                              const state::Endpoint& endpoint,
                              protocol::PeerMessage message) = 0;
--- a/include/sesamespread/transport/data_plane.h
+++ b/include/sesamespread/transport/data_plane.h
@@ -28,7 +28,8 @@
 namespace sesamespread::transport {
 
 /// A backend server that has not announced itself for this long is gone.
-constexpr state::Duration kAnnounceTimeout = std::chrono::seconds(15);
+/// Backend servers announce themselves each second.
+constexpr state::Duration kAnnounceTimeout = std::chrono::seconds(4);
 
 /// Load of a node, for status and metrics.
 struct DataStatus {
@@ -85,7 +86,8 @@
   void SetConfiguration(
       std::shared_ptr<const state::Configuration> configuration);
   void SetServers(const std::string& service,
-                  std::vector<state::NodeRecord> servers);
+                  std::vector<state::NodeRecord> servers,
+                  std::size_t nodes_known);
   void OnClaimReply(const coordination::ClaimTableReply& reply);
   void SendControl(state::NodeId node,
                    const state::Endpoint& endpoint,
@@ -130,6 +132,9 @@
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> backend_server_;
   state::Instant last_announce_;
+  state::Instant last_tick_;
+  // Set for good once the node shuts down.
+  bool stopping_ = false;
   // The state that was last told to the control thread.
   state::BackendState told_state_ = state::BackendState::kAbsent;
 };
--- a/include/sesamespread/transport/local_executor.h
+++ b/include/sesamespread/transport/local_executor.h
@@ -34,6 +34,9 @@
   std::uint32_t slots = 1;
   std::uint32_t connections = 1;
   state::Duration cold_start{0};
+  /// Names one run of the backend server, so that a new one at the same address
+  /// is told from one that leaves; empty if it does not say.
+  std::string instance;
 
   auto operator<=>(const BackendInfo&) const = default;
 };
--- a/include/sesamespread/transport/request_handler.h
+++ b/include/sesamespread/transport/request_handler.h
@@ -80,6 +80,8 @@
     bool from_caller = true;
     // Ticket in the entry table, or of the parent for a sub-call.
     coordination::Ticket ticket = 0;
+    // True if the caller repeats a request; one unit of its allotment is spent.
+    bool is_repeat = false;
     CallDispatcher::Handle dispatch = 0;
   };
 
--- a/lib/coordination/retry_budget.cc
+++ b/lib/coordination/retry_budget.cc
@@ -140,6 +140,13 @@
   attempts_.erase(outstanding);
 }
 
+void RequestLedger::Refund(Ticket ticket) {
+  const auto entry = entries_.find(ticket);
+  if (entry != entries_.end() &&
+      entry->second.remaining < entry->second.context.allotment)
+    ++entry->second.remaining;
+}
+
 bool RequestLedger::Spend(Ticket ticket) {
   const auto entry = entries_.find(ticket);
   if (entry == entries_.end() || entry->second.remaining == 0)
--- a/lib/transport/call_dispatcher.cc
+++ b/lib/transport/call_dispatcher.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "sesamespread/transport/inbound_calls.h"
+
 namespace sesamespread::transport {
 namespace {
 
@@ -81,7 +83,9 @@
 }
 
 void CallDispatcher::SetServers(const std::string& service,
-                                std::vector<state::NodeRecord> servers) {
+                                std::vector<state::NodeRecord> servers,
+                                std::size_t nodes_known) {
+  nodes_known_ = nodes_known;
   ServiceState& state = services_[service];
   state.known = true;
   state.servers = std::move(servers);
@@ -366,13 +370,18 @@
   const state::Service* found = configuration_->FindService(service);
   if (!found)
     return shape;
-  shape.connections = found->connections;
-  // One link per calling node; the nodes of the services that call this one,
-  // and those through which callers enter.
-  std::size_t callers = 1;
-  for (const auto& [name, state] : services_)
-    callers += state.servers.size();
-  shape.calling_nodes = static_cast<std::uint32_t>(callers);
+  // The connections to a backend server are its own node's; what other nodes
+  // open are links to that node. Half of its links are left to nodes through
+  // which callers enter.
+  shape.connections = kMaxInboundLinks / 2;
+  std::size_t calling_services = 0;
+  for (const auto& [name, caller] : configuration_->services())
+    calling_services += static_cast<std::size_t>(
+        std::count(caller.calls.begin(), caller.calls.end(), service));
+  const std::size_t nodes_per_service =
+      nodes_known_ / configuration_->services().size() + 1;
+  shape.calling_nodes = static_cast<std::uint32_t>(
+      std::max<std::size_t>(1, calling_services * nodes_per_service));
   return shape;
 }
 
--- a/lib/transport/control_plane.cc
+++ b/lib/transport/control_plane.cc
@@ -244,7 +244,8 @@
 void ControlPlane::PublishServers() {
   for (const std::string& service : std::exchange(dirty_, {})) {
     if (subscribed_.count(service) > 0)
-      events_.OnServers(service, membership_->ServersOf(service));
+      events_.OnServers(service, membership_->ServersOf(service),
+                        membership_->size());
   }
 }
 
--- a/lib/transport/data_plane.cc
+++ b/lib/transport/data_plane.cc
@@ -76,6 +76,7 @@
   backend.connections = node["connections"].as<std::uint32_t>(0);
   backend.cold_start =
       std::chrono::milliseconds(node["cold_start_ms"].as<std::uint32_t>(0));
+  backend.instance = node["instance"].as<std::string>("");
   return backend;
 }
 
@@ -161,8 +162,9 @@
 }
 
 void DataPlane::SetServers(const std::string& service,
-                           std::vector<state::NodeRecord> servers) {
-  dispatcher_.SetServers(service, std::move(servers));
+                           std::vector<state::NodeRecord> servers,
+                           std::size_t nodes_known) {
+  dispatcher_.SetServers(service, std::move(servers), nodes_known);
 }
 
 void DataPlane::OnClaimReply(const coordination::ClaimTableReply& reply) {
@@ -187,6 +189,7 @@
 }
 
 void DataPlane::StopAccepting() {
+  stopping_ = true;
   caller_server_->StopAccepting();
 }
 
@@ -268,8 +271,7 @@
                 {"port", std::to_string(backend.endpoint.port)},
                 {"slots", std::to_string(backend.slots)}});
     // A new backend server takes the place of one that has left.
-    if (executor_.leaving() && executor_.backend() &&
-        executor_.backend()->endpoint != backend.endpoint)
+    if (!stopping_)
       executor_.SetLeaving(false);
     executor_.SetBackend(std::move(backend));
   }
@@ -319,6 +321,11 @@
 }
 
 void DataPlane::Tick() {
+  // After a pause of this process the announcements that wait are read first.
+  const state::Instant now = Now();
+  if (now - last_tick_ > kAnnounceTimeout / 2)
+    last_announce_ = now;
+  last_tick_ = now;
   CheckBackend();
   deadlines_.Schedule(Now() + kBackendCheckInterval, [this] { Tick(); });
 }
--- a/lib/transport/node.cc
+++ b/lib/transport/node.cc
@@ -242,10 +242,12 @@
   }
 
   void OnServers(const std::string& service,
-                 std::vector<state::NodeRecord> servers) override {
-    control_to_data_.Push([this, service, servers = std::move(servers)] {
-      data_.SetServers(service, servers);
-    });
+                 std::vector<state::NodeRecord> servers,
+                 std::size_t nodes_known) override {
+    control_to_data_.Push(
+        [this, service, servers = std::move(servers), nodes_known] {
+          data_.SetServers(service, servers, nodes_known);
+        });
   }
 
   void OnSendControl(state::NodeId node,
@@ -392,8 +394,8 @@
     shutdown_at_ = Now();
     log_.Write(Duty::kMain, LogLevel::kInfo, "shutdown_started", {});
     main_to_data_.Push([this] {
-      data_.StartLeaving();
       data_.StopAccepting();
+      data_.StartLeaving();
     });
     CheckShutdown();
   }
--- a/lib/transport/request_handler.cc
+++ b/lib/transport/request_handler.cc
@@ -299,6 +299,8 @@
     return false;
   }
   request.ticket = admission.ticket;
+  request.is_repeat =
+      admission.verdict == coordination::EntryTable::Verdict::kRepeat;
   return true;
 }
 
@@ -442,6 +444,10 @@
   if (node.empty())
     return;
   Request& request = node.mapped();
+  // A repeat that was refused for load costs no server anything; counting it
+  // would refuse an order for good after a few polite returns.
+  if (request.is_repeat && answer.run_state == RunState::kNotRun)
+    entries_.ledger().Refund(request.ticket);
   if (request.from_caller)
     entries_.Finish(request.ticket);
   else if (request.ticket != 0)
--- a/tools/standins/backend.cc
+++ b/tools/standins/backend.cc
@@ -45,7 +45,6 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr auto kAnnounceInterval = 1s;
-constexpr auto kKeepAliveInterval = 5s;
 constexpr auto kAnnounceTimeout = 1s;
 /// Bound on a sub-call of a request without a deadline.
 constexpr auto kCallTimeout = 10s;
@@ -135,16 +134,12 @@
       return;
     const std::string body = fmt::format(
         R"({{"service":"{}","port":{},"slots":{},"connections":{},)"
-        R"("cold_start_ms":{}}})",
+        R"("cold_start_ms":{},"instance":"{}"}})",
         options_.service, server_->port(), options_.slots, options_.connections,
-        std::lround(options_.cold_start.count() * 1000));
+        std::lround(options_.cold_start.count() * 1000), started_at_);
     client_.Send(*options_.node, {"POST", "/-/announce", {}, body},
-                 After(kAnnounceTimeout), [this](const HttpOutcome& outcome) {
-                   const bool accepted =
-                       outcome.kind == HttpOutcomeKind::kAnswered &&
-                       outcome.response.status / 100 == 2;
-                   announce_timer_.expires_after(accepted ? kKeepAliveInterval
-                                                          : kAnnounceInterval);
+                 After(kAnnounceTimeout), [this](const HttpOutcome&) {
+                   announce_timer_.expires_after(kAnnounceInterval);
                    announce_timer_.async_wait([this](const auto& error) {
                      if (!error)
                        Announce();
@@ -432,6 +427,8 @@
   std::optional<HttpServer> server_;
   ProcessorSharing sharing_;
   boost::asio::steady_timer announce_timer_;
+  // Tells this run from an earlier one at the same address.
+  const std::int64_t started_at_ = WallMicros();
   boost::asio::steady_timer exit_timer_;
   boost::asio::signal_set signals_;
   /// Changes of the requests in progress, for the lagging load report.
