Read the configuration in the node by the verbs' reader

Cause: the platform thread had its own reading of head, changes and content beside coordination/configuration_reader, without the digest check of range reads. Conclusion: one reader.

--- a/include/sesamespread/transport/platform_worker.h
+++ b/include/sesamespread/transport/platform_worker.h
@@ -58,6 +58,8 @@
   void DoReadHead();
   void DoRead(const coordination::PlatformReadOrder& order);
   void ReadFull();
+  // Logs the error that \p read throws; the control thread asks again later.
+  void Guard(const char* call, const std::function<void()>& read);
   void DoClaim(const coordination::ClaimTableRequest& request);
   coordination::ClaimTableReply InsertIfAbsent(
       const coordination::ClaimTableRequest& request);
--- a/lib/transport/platform_worker.cc
+++ b/lib/transport/platform_worker.cc
@@ -2,11 +2,9 @@
 /// The platform thread of a node.
 #include "sesamespread/transport/platform_worker.h"
 
-#include <fmt/format.h>
-
-#include <algorithm>
 #include <utility>
 
+#include "sesamespread/coordination/configuration_reader.h"
 #include "sesamespread/coordination/configuration_rows.h"
 #include "sesamespread/coordination/idempotency.h"
 
@@ -20,9 +18,6 @@
 
 constexpr std::size_t kRingCapacity = 256;
 
-// Rows read in one call; the platform serves about 2,000 reads/s.
-constexpr std::size_t kRowsPerRead = 200;
-
 // A claim's row is its key's system-issued text, which names the executor.
 std::string EncodeClaim(const ClaimRow& row) {
   return coordination::FormatKey(coordination::BindingOf(row));
@@ -95,70 +90,49 @@
 
 void PlatformWorker::DoReadHead() {
   head_waiting_ = false;
-  const coordination::RowReply reply = table_.ReadRow(coordination::kHeadKey);
-  if (reply.status != StoreStatus::kDone) {
-    LogFailure("read_head", reply.status);
-    return;
-  }
-  if (!reply.row)
-    return;
-  try {
-    const auto head = coordination::ParseHead(reply.row->value);
-    events_.OnPlatformHead(head.version, head.digest);
-  } catch (const state::Error& error) {
-    log_.Write(Duty::kPlatform, LogLevel::kError, "platform_row_invalid",
-               {{"row", std::string(coordination::kHeadKey)},
-                {"detail", error.what()}});
-  }
+  Guard("read_head", [this] {
+    const auto head = coordination::ReadHead(table_);
+    if (head.version > 0)
+      events_.OnPlatformHead(head.version, head.digest);
+  });
 }
 
 void PlatformWorker::DoRead(const coordination::PlatformReadOrder& order) {
   if (order.full) {
-    ReadFull();
-    return;
-  }
-  const coordination::RangeReply reply = table_.ReadRange(
-      coordination::kChangePrefix, coordination::ChangeKey(order.first - 1),
-      std::min<std::size_t>(order.last - order.first + 1, kRowsPerRead));
-  if (reply.status != StoreStatus::kDone) {
-    LogFailure("read_changes", reply.status);
+    Guard("read_snapshot", [this] { ReadFull(); });
     return;
   }
-  try {
-    for (const coordination::TableRow& row : reply.rows)
-      events_.OnPlatformDelta(
-          coordination::ParseChangeRecord(row.value).ToDelta(), false);
-  } catch (const state::Error& error) {
-    log_.Write(Duty::kPlatform, LogLevel::kError, "platform_row_invalid",
-               {{"row", "config/change"}, {"detail", error.what()}});
-  }
+  Guard("read_changes", [this, &order] {
+    const std::size_t count = order.last - order.first + 1;
+    for (const coordination::ChangeRecord& change :
+         coordination::ReadChangesAfter(table_, order.first - 1, count))
+      events_.OnPlatformDelta(change.ToDelta(), false);
+  });
 }
 
 // Reads the snapshot of the object store, which spares the table; the changes
-// since then follow as deltas.
+// since then follow as deltas. A configuration of few versions has none yet.
 void PlatformWorker::ReadFull() {
   const coordination::ObjectReply reply =
       objects_.GetObject(coordination::kSnapshotObject);
-  if (reply.status != StoreStatus::kDone) {
-    LogFailure("read_snapshot", reply.status);
-    return;
-  }
-  if (!reply.content) {
-    // A configuration of few versions has no snapshot yet.
-    DoRead({false, 1, kRowsPerRead});
-    return;
-  }
+  const state::Configuration content =
+      reply.content ? coordination::ParseSnapshot(*reply.content)
+                    : coordination::ReadContent(table_);
+  state::ConfigurationDelta delta;
+  delta.to = content.version();
+  delta.digest = content.digest();
+  delta.changes = state::Configuration().DifferenceTo(content.entries());
+  events_.OnPlatformDelta(std::move(delta), true);
+}
+
+void PlatformWorker::Guard(const char* call,
+                           const std::function<void()>& read) {
   try {
-    const state::Configuration snapshot =
-        coordination::ParseSnapshot(*reply.content);
-    state::ConfigurationDelta delta;
-    delta.to = snapshot.version();
-    delta.digest = snapshot.digest();
-    delta.changes = state::Configuration().DifferenceTo(snapshot.entries());
-    events_.OnPlatformDelta(std::move(delta), true);
+    read();
   } catch (const state::Error& error) {
-    log_.Write(Duty::kPlatform, LogLevel::kError, "platform_row_invalid",
-               {{"row", std::string(coordination::kSnapshotObject)},
+    log_.Write(Duty::kPlatform, LogLevel::kWarning, "platform_call_failed",
+               {{"call", call},
+                {"result", std::to_string(static_cast<int>(error.code()))},
                 {"detail", error.what()}});
   }
 }
