--- a/bench/slopes.cc
+++ b/bench/slopes.cc
@@ -22,8 +22,11 @@
 
 namespace {
 
-using namespace std::chrono_literals;
-using namespace sesamespread;
+namespace coordination = sesamespread::coordination;
+namespace protocol = sesamespread::protocol;
+namespace state = sesamespread::state;
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
 using coordination::ConfigurationReplica;
 using coordination::GossipKind;
 using coordination::GossipMessage;
@@ -49,7 +52,7 @@
 constexpr double kMaxKbPerSecond = 19;
 
 // IP and TCP headers of a pull, its answer and their acks.
-constexpr std::size_t kTcpOverhead = 4 * 40;
+constexpr std::size_t kTcpOverhead = 160;
 
 // Bytes allocated, without what the allocator keeps free.
 double AllocatedBytes() {
@@ -504,9 +507,9 @@
   constexpr std::uint32_t kRounds = 200;
   double seconds = 0;
   for (std::uint32_t i = 0; i < kRounds; ++i) {
-    const ConfigurationDelta delta =
-        Replace(*replica->current(), i % 2 ? RuleEntry(i * 31, 2'000 + i)
-                                           : ServiceEntry(i * 7, 200 + i));
+    const ConfigurationDelta delta = Replace(
+        *replica->current(), i % 2 ? RuleEntry(std::size_t{i} * 31, 2'000 + i)
+                                   : ServiceEntry(std::size_t{i} * 7, 200 + i));
     const double before = CpuSeconds();
     replica->OnPush(delta, false, 0, Instant(1'000s));
     seconds += CpuSeconds() - before;
--- a/include/sesamespread/coordination/membership.h
+++ b/include/sesamespread/coordination/membership.h
@@ -44,6 +44,10 @@
   state::Duration probe_interval = std::chrono::seconds(1);
   /// Longest mean time between contacts of a seed.
   state::Duration max_seed_interval = std::chrono::seconds(8);
+  /// Mean time between contacts of a seed once joined, for each member. The
+  /// seeds get 7 messages a second at any size, 4 KB/s with their answers even
+  /// if all nodes have the same one.
+  state::Duration seed_interval_per_member = std::chrono::milliseconds(150);
   /// Above the round trip between the farthest regions (about 300 ms).
   state::Duration ack_timeout = std::chrono::milliseconds(500);
   std::size_t indirect_probes = 3;
@@ -457,6 +461,7 @@
   state::Instant next_dead_probe_{};
   state::Instant next_seed_contact_{};
   state::Duration seed_interval_{0};
+  bool contacted_seed_ = false;
   state::Instant next_forget_{};
   std::optional<state::Instant> next_records_pull_;
   std::optional<state::Instant> next_push_;
@@ -474,9 +479,10 @@
   // Of an ack to an own probe, which shows that both directions work.
   state::Instant last_ack_{};
   bool isolated_ = false;
-  // Size after the last pull, and whether further ones repair what was missed.
+  // Size after the last pull, and pulls that were due after the first; what
+  // those find has been missed by others too.
   std::size_t pulled_size_ = 0;
-  bool repairs_ = false;
+  std::uint32_t pulls_ = 0;
   // All records have been asked for from a node that had joined.
   bool joined_ = false;
 
--- a/lib/coordination/membership.cc
+++ b/lib/coordination/membership.cc
@@ -48,6 +48,7 @@
 // Growth of the table that calls for another pull after the first one.
 constexpr std::size_t kGrownByOneIn = 1000;
 constexpr std::size_t kSmallCluster = 1000;
+constexpr std::uint32_t kStartPulls = 4;
 
 // A vtable that the record may add to the message.
 constexpr std::size_t kVtableBytes = 28;
@@ -208,6 +209,10 @@
   if (isolated == isolated_)
     return;
   isolated_ = isolated;
+  if (isolated) {
+    next_seed_contact_ = now;
+    seed_interval_ = options_.probe_interval;
+  }
   // Time spent in isolation does not count against others.
   for (auto& [node, suspicion] : suspects_)
     suspicion.deadline = now + SuspectTime();
@@ -271,36 +276,54 @@
 }
 
 // One seed at a time with a growing interval, since the nodes of a zone that
-// starts again all contact the same seeds.
+// starts again all contact the same seeds. Nodes that start together may find
+// each other before their seeds, or hear of each other by one that has not
+// contacted its own. Seeds are contacted for good, but rarely once joined, so
+// that such islands merge.
 void Membership::ContactSeeds(Instant now) {
-  if ((joined_ && !isolated_) || now < next_seed_contact_ || seeds_.empty())
+  if (now < next_seed_contact_ || seeds_.empty())
     return;
-  const state::Endpoint& seed = seeds_[random_() % seeds_.size()];
+  const bool joined = joined_ && !isolated_;
+  const Duration joined_interval = options_.seed_interval_per_member *
+                                   static_cast<std::int64_t>(table_.size());
+  // The first contact of a node that was found by others before.
+  if (joined && !std::exchange(contacted_seed_, true) &&
+      joined_interval > options_.max_seed_interval) {
+    next_seed_contact_ = now + Jitter(joined_interval);
+    return;
+  }
+  contacted_seed_ = true;
+  if (joined)
+    seed_interval_ = std::max(options_.max_seed_interval, joined_interval);
   next_seed_contact_ = now + seed_interval_ / 2 + Jitter(seed_interval_);
-  seed_interval_ = std::min(2 * seed_interval_, options_.max_seed_interval);
+  if (!joined)
+    seed_interval_ = std::min(2 * seed_interval_, options_.max_seed_interval);
+  const state::Endpoint& seed = seeds_[random_() % seeds_.size()];
   if (seed == own_.gossip)
     return;
   SendOptions options;
   options.essential = true;
-  Send(seed, MakeMessage(GossipKind::kJoin, NewToken(false)), options, now);
+  options.bare = joined;
+  Send(seed, MakeMessage(GossipKind::kJoin, NewToken(joined)), options, now);
 }
 
 void Membership::PullRecords(Instant now) {
   if (!next_records_pull_ || now < *next_records_pull_)
     return;
-  const auto slot = RandomLiveSlot();
-  // Many new nodes since the first pull: others have started together with
-  // this one, and what was pulled was not complete.
-  const bool grown =
-      table_.size() > pulled_size_ + pulled_size_ / kGrownByOneIn;
-  // In a small cluster the second pull is made in any case, since it is cheap.
-  const bool repair = repairs_ || table_.size() <= kSmallCluster;
-  repairs_ = true;
+  ++pulls_;
+  // Many new nodes since the last pull: others have started together with this
+  // one, and what was pulled was not complete. In a small cluster further pulls
+  // are made in any case, since they are cheap.
+  const bool start =
+      table_.size() > pulled_size_ + pulled_size_ / kGrownByOneIn ||
+      (table_.size() <= kSmallCluster && pulls_ < kStartPulls);
+  const bool due = start || pulls_ > 1;
   const Duration interval =
-      grown ? options_.second_pull_after : options_.records_pull_interval;
+      start ? options_.second_pull_after : options_.records_pull_interval;
   // Spreads the pulls of nodes that started together.
   next_records_pull_ = now + interval / 2 + Jitter(interval);
-  if (slot && (grown || repair))
+  const auto slot = RandomLiveSlot();
+  if (slot && due)
     Emit(MembershipEvent::Kind::kPullRecords, *slot);
 }
 
@@ -662,7 +685,7 @@
   NoteTime(now);
   // What a repair finds has been missed by others too.
   for (const NodeRecord& record : records)
-    Apply(record, repairs_, now);
+    Apply(record, pulls_ > 0, now);
   pulled_size_ = table_.size();
   if (!next_records_pull_)
     next_records_pull_ =
--- a/unittests/coordination/membership_test.cc
+++ b/unittests/coordination/membership_test.cc
@@ -299,6 +299,38 @@
   EXPECT_TRUE(AllLive(network));
 }
 
+// Guards against a node that others found before it contacted its own seeds and
+// that then never does, so that two groups of nodes stay apart.
+TEST(MembershipTest, NodesThatFoundEachOtherStillContactTheirSeeds) {
+  FakeNetwork network(2, 1, false);
+  // Node 3 knows node 2, which has no seeds, before it contacts its seed.
+  network.Start(MakeNodeRecord(2, "zone-0"), {});
+  network.Start(MakeNodeRecord(3, "zone-0"), {network[0].own().gossip});
+  network[3].ApplyRecords({network[2].own()}, network.now);
+  const auto time = network.RunUntil(std::chrono::seconds(15), [&] {
+    return network.All(
+        [](Membership& membership) { return membership.size() == 4; });
+  });
+  EXPECT_NE(time, kNever);
+}
+
+// Guards against all nodes probing a dead one, which floods the host when it
+// comes back.
+TEST(MembershipTest, AHostThatComesBackIsNotFloodedWithProbes) {
+  FakeNetwork network(200, 4);
+  network.Run(std::chrono::seconds(3));
+  network.hosts[9].up = false;
+  network.Run(std::chrono::seconds(60));
+  const std::uint64_t before = network[9].counters().datagrams_received;
+  network.hosts[9].up = true;
+  network.Run(std::chrono::seconds(2));
+  // Each of 199 nodes once in 5 s would be 80.
+  EXPECT_LE(network[9].counters().datagrams_received - before, 40u);
+  const auto time = network.RunUntil(std::chrono::seconds(20),
+                                     [&] { return AllLive(network); });
+  EXPECT_NE(time, kNever);
+}
+
 // Guards against a seed that is out of order keeping a node alone silently.
 TEST(MembershipTest, ANodeWhoseSeedIsDownSaysThatItIsIsolated) {
   FakeNetwork network(2, 1, false);
