--- a/include/sesamespread/coordination/membership.h
+++ b/include/sesamespread/coordination/membership.h
@@ -44,10 +44,9 @@
   state::Duration probe_interval = std::chrono::seconds(1);
   /// Longest mean time between contacts of a seed.
   state::Duration max_seed_interval = std::chrono::seconds(8);
-  /// Mean time between contacts of a seed once joined, for each member. The
-  /// seeds get 7 messages a second at any size, 4 KB/s with their answers even
-  /// if all nodes have the same one.
-  state::Duration seed_interval_per_member = std::chrono::milliseconds(150);
+  /// Longest time to the next contact of a seed once joined, for each member:
+  /// all seeds together get 4 contacts a second at any size.
+  state::Duration seed_interval_per_member = std::chrono::milliseconds(500);
   /// Above the round trip between the farthest regions (about 300 ms).
   state::Duration ack_timeout = std::chrono::milliseconds(500);
   std::size_t indirect_probes = 3;
@@ -335,6 +334,7 @@
   void ProbeNext(state::Instant now);
   void ProbeSuspects(state::Instant now);
   void ProbeDead(state::Instant now);
+  void DeferSeedContact(state::Instant now);
   void ContactSeeds(state::Instant now);
   void PullRecords(state::Instant now);
   void CheckOwnZone(state::Instant now);
@@ -461,7 +461,6 @@
   state::Instant next_dead_probe_{};
   state::Instant next_seed_contact_{};
   state::Duration seed_interval_{0};
-  bool contacted_seed_ = false;
   state::Instant next_forget_{};
   std::optional<state::Instant> next_records_pull_;
   std::optional<state::Instant> next_push_;
