--- a/include/sesamespread/coordination/membership.h
+++ b/include/sesamespread/coordination/membership.h
@@ -478,9 +478,10 @@
   // Of an ack to an own probe, which shows that both directions work.
   state::Instant last_ack_{};
   bool isolated_ = false;
-  // Size after the last pull, and whether further ones repair what was missed.
+  // Size after the last pull, and pulls that were due after the first; what
+  // those find has been missed by others too.
   std::size_t pulled_size_ = 0;
-  bool repairs_ = false;
+  std::uint32_t pulls_ = 0;
   // All records have been asked for from a node that had joined.
   bool joined_ = false;
 
--- a/unittests/coordination/fake_network.h
+++ b/unittests/coordination/fake_network.h
@@ -46,17 +46,22 @@
   };
 
   /// \p count nodes in \p zones zones ("zone-0", ...). If \p know_each_other,
-  /// all hold the records of all; otherwise node 0 is everyone's seed.
+  /// all hold the records of all and nodes 0, 2 and 3 are the seeds; otherwise
+  /// node 0 is everyone's seed.
   FakeNetwork(std::size_t count,
               std::size_t zones,
               bool know_each_other = true,
               std::uint64_t seed = 1)
       : random_(seed) {
     std::vector<state::NodeRecord> records;
-    for (std::size_t i = 0; i < count; ++i) {
+    for (std::size_t i = 0; i < count; ++i)
       records.push_back(MakeNodeRecord(i, "zone-" + std::to_string(i % zones)));
-      Start(records.back(), {records[0].gossip});
-    }
+    std::vector<state::Endpoint> seeds = {records[0].gossip};
+    for (std::size_t i = 2; know_each_other && i < std::min(count, kSeedsEnd);
+         ++i)
+      seeds.push_back(records[i].gossip);
+    for (const state::NodeRecord& record : records)
+      Start(record, seeds);
     if (!know_each_other)
       return;
     for (std::size_t i = 0; i < count; ++i)
@@ -132,6 +137,7 @@
 
  private:
   static constexpr state::Duration kStep = std::chrono::milliseconds(10);
+  static constexpr std::size_t kSeedsEnd = 4;
   static constexpr std::size_t kStepsPerTick = 10;
   static constexpr std::size_t kStepsPerSecond = 100;
 
