Eject a slow server only if it stays slow

One latency average above 6 times the median ejected a server. The average must now stay above the ratio for 500 ms.

--- a/include/sesamespread/coordination/routing.h
+++ b/include/sesamespread/coordination/routing.h
@@ -88,6 +88,9 @@
   /// number of answers it must be based on.
   double ejection_latency_ratio = 6;
   std::uint32_t ejection_min_answers = 20;
+  /// How long the latency must stay above it: at 80% load, single averages of
+  /// a healthy server were seen above the ratio by chance.
+  state::Duration ejection_slow_for = std::chrono::milliseconds(500);
   /// No server is ejected for a latency below this.
   state::Duration ejection_min_latency = std::chrono::milliseconds(20);
   /// Time of the first ejection; each further one doubles it up to the maximum.
@@ -222,6 +225,8 @@
     /// Time of the last change of the rates and of the latency.
     state::Instant rated{};
     state::Instant measured{};
+    /// Since when the latency average would eject it.
+    std::optional<state::Instant> slow_since;
     std::uint32_t failures_in_a_row = 0;
     std::optional<state::Instant> last_failure;
     std::optional<state::Instant> last_answer;
@@ -290,6 +295,7 @@
   void CountConnectFailure(Server& server, state::Instant now);
   bool MayEject(const Server& server, state::Instant now) const;
   void EjectForFailures(Server& server, state::Instant now);
+  bool IsSlow(const Server& server) const;
   void EjectForLatency(Server& server, state::Instant now);
   void Eject(Server& server, state::Instant now);
 
--- a/lib/coordination/routing.cc
+++ b/lib/coordination/routing.cc
@@ -578,12 +578,11 @@
     Eject(server, now);
 }
 
-void Router::EjectForLatency(Server& server, Instant now) {
+bool Router::IsSlow(const Server& server) const {
   if (server.answers < options_.ejection_min_answers ||
       server.latency_us <
-          static_cast<double>(options_.ejection_min_latency.count()) ||
-      server.ejected_until > now) {
-    return;
+          static_cast<double>(options_.ejection_min_latency.count())) {
+    return false;
   }
   std::vector<double> latencies;
   for (const Server* other : ServersOf(*server.service)) {
@@ -591,8 +590,19 @@
       latencies.push_back(other->latency_us);
   }
   const double median = LowerMedian(std::move(latencies));
-  if (median > 0 &&
-      server.latency_us > options_.ejection_latency_ratio * median)
+  return median > 0 &&
+         server.latency_us > options_.ejection_latency_ratio * median;
+}
+
+void Router::EjectForLatency(Server& server, Instant now) {
+  if (!IsSlow(server)) {
+    server.slow_since.reset();
+    return;
+  }
+  if (!server.slow_since)
+    server.slow_since = now;
+  const bool lasted = now - *server.slow_since >= options_.ejection_slow_for;
+  if (lasted && server.ejected_until <= now)
     Eject(server, now);
 }
 
@@ -609,6 +619,7 @@
   server.failures_in_a_row = options_.ejection_failures - 1;
   server.answers = 0;
   server.latency_us = 0;
+  server.slow_since.reset();
 }
 
 std::vector<ServerView> Router::View(std::string_view service,
--- a/unittests/coordination/idempotency_test.cc
+++ b/unittests/coordination/idempotency_test.cc
@@ -215,6 +215,19 @@
   EXPECT_EQ(outcome.answer->body_digest, state::HashOf(body));
 }
 
+// Guards against answers that exceed the bound by their header fields alone.
+TEST_F(SmallTableTest, GivesUpHeaderFieldsRatherThanTheBound) {
+  EXPECT_EQ(Begin(MakeKey(0), seconds(1)), Verdict::kRun);
+  StoredAnswer answer = MakeAnswer("done");
+  answer.headers.emplace_back("x-large", std::string(2000, 'x'));
+  table_.Complete(MakeKey(0), answer, At(seconds(1)));
+  EXPECT_LE(table_.bytes(), 1400u);
+  const auto outcome = table_.Begin(MakeKey(0), 5, 1, At(seconds(2)));
+  ASSERT_EQ(outcome.verdict, Verdict::kReplay);
+  EXPECT_EQ(outcome.answer->http_status, 201);
+  EXPECT_FALSE(outcome.answer->body_kept);
+}
+
 // Guards against any order of requests, completions, losses, time and window
 // changes that runs a key twice or exceeds the bounds.
 TEST(ExecutionTablePropertyTest, NoKeyRunsTwice) {
