--- a/lib/coordination/membership.cc
+++ b/lib/coordination/membership.cc
@@ -48,6 +48,7 @@
 // Growth of the table that calls for another pull after the first one.
 constexpr std::size_t kGrownByOneIn = 1000;
 constexpr std::size_t kSmallCluster = 1000;
+constexpr std::uint32_t kStartPulls = 4;
 
 // A vtable that the record may add to the message.
 constexpr std::size_t kVtableBytes = 28;
@@ -177,7 +178,7 @@
     table_.set_liveness(*slot, Liveness::kDead);
     TrackLiveness(*slot, now);
     ++counters_.deaths;
-    Enqueue(node, false, now);
+    Enqueue(node, 0, now);
     Emit(MembershipEvent::Kind::kRecordChanged, *slot);
   }
 }
@@ -208,6 +209,10 @@
   if (isolated == isolated_)
     return;
   isolated_ = isolated;
+  if (isolated) {
+    next_seed_contact_ = now;
+    seed_interval_ = options_.probe_interval;
+  }
   // Time spent in isolation does not count against others.
   for (auto& [node, suspicion] : suspects_)
     suspicion.deadline = now + SuspectTime();
@@ -251,60 +256,72 @@
   }
 }
 
-// Two sides of a partition that found each other dead have to meet again.
+// Two sides of a partition that found each other dead have to meet again. All
+// nodes together probe each dead one about once in dead_probe_interval; if each
+// node did, a host that comes back would get the probes of all at once.
 void Membership::ProbeDead(Instant now) {
   if (now < next_dead_probe_ || dead_.empty())
     return;
   next_dead_probe_ = now + options_.dead_probe_interval;
+  if (random_() % table_.size() >= dead_.size())
+    return;
   const auto chosen = std::next(
       dead_.begin(), static_cast<std::ptrdiff_t>(random_() % dead_.size()));
   const auto slot = table_.Find(chosen->first);
   assert(slot && "a dead node has a record");
   SendOptions options;
   options.first_update = table_.Get(*slot);
-  Send(table_.gossip(*slot), MakeMessage(GossipKind::kProbe, random_()),
+  Send(table_.gossip(*slot), MakeMessage(GossipKind::kProbe, NewToken(false)),
        options, now);
 }
 
+// Nodes that start together may find each other before their seeds do, as
+// islands that do not know of each other. Seeds are contacted for good, though
+// rarely in a large deployment, so that islands merge.
+void Membership::DeferSeedContact(Instant now) {
+  const auto members = static_cast<std::int64_t>(table_.size());
+  next_seed_contact_ =
+      now + Jitter(options_.seed_interval_per_member * members);
+}
+
 // One seed at a time with a growing interval, since the nodes of a zone that
 // starts again all contact the same seeds.
 void Membership::ContactSeeds(Instant now) {
   if (now < next_seed_contact_ || seeds_.empty())
     return;
   const state::Endpoint& seed = seeds_[random_() % seeds_.size()];
-  // Nodes that start together may find each other before their seeds, or hear
-  // of each other by one that has not contacted its own. Seeds are contacted
-  // for good, but rarely once joined, so that such islands merge.
-  if (joined_ && !isolated_)
-    seed_interval_ = std::max(options_.max_seed_interval,
-                              options_.seed_interval_per_member *
-                                  static_cast<std::int64_t>(table_.size()));
-  next_seed_contact_ = now + seed_interval_ / 2 + Jitter(seed_interval_);
-  if (!joined_ || isolated_)
+  const bool joined = joined_ && !isolated_;
+  if (joined) {
+    DeferSeedContact(now);
+  } else {
+    next_seed_contact_ = now + seed_interval_ / 2 + Jitter(seed_interval_);
     seed_interval_ = std::min(2 * seed_interval_, options_.max_seed_interval);
+  }
   if (seed == own_.gossip)
     return;
   SendOptions options;
   options.essential = true;
-  Send(seed, MakeMessage(GossipKind::kJoin, random_()), options, now);
+  options.bare = joined;
+  Send(seed, MakeMessage(GossipKind::kJoin, NewToken(joined)), options, now);
 }
 
 void Membership::PullRecords(Instant now) {
   if (!next_records_pull_ || now < *next_records_pull_)
     return;
-  const auto slot = RandomLiveSlot();
-  // Many new nodes since the first pull: others have started together with
-  // this one, and what was pulled was not complete.
-  const bool grown =
-      table_.size() > pulled_size_ + pulled_size_ / kGrownByOneIn;
-  // In a small cluster the second pull is made in any case, since it is cheap.
-  const bool repair = repairs_ || table_.size() <= kSmallCluster;
-  repairs_ = true;
+  ++pulls_;
+  // Many new nodes since the last pull: others have started together with this
+  // one, and what was pulled was not complete. In a small cluster further pulls
+  // are made in any case, since they are cheap.
+  const bool start =
+      table_.size() > pulled_size_ + pulled_size_ / kGrownByOneIn ||
+      (table_.size() <= kSmallCluster && pulls_ < kStartPulls);
+  const bool due = start || pulls_ > 1;
   const Duration interval =
-      grown ? options_.second_pull_after : options_.records_pull_interval;
+      start ? options_.second_pull_after : options_.records_pull_interval;
   // Spreads the pulls of nodes that started together.
   next_records_pull_ = now + interval / 2 + Jitter(interval);
-  if (slot && (grown || repair))
+  const auto slot = RandomLiveSlot();
+  if (slot && due)
     Emit(MembershipEvent::Kind::kPullRecords, *slot);
 }
 
@@ -414,13 +431,14 @@
 bool Membership::SendProbe(Pending pending,
                            const state::Endpoint& to,
                            Instant now) {
-  const std::uint64_t token = random_();
+  const bool bare = pending.kind == Pending::Kind::kZoneSample ||
+                    pending.kind == Pending::Kind::kZoneControl;
+  const std::uint64_t token = NewToken(bare);
   GossipMessage message = MakeMessage(GossipKind::kProbe, token);
   SendOptions options;
   options.essential = true;
+  options.bare = bare;
   options.first_update = AccusationOf(pending.node);
-  options.bare = pending.kind == Pending::Kind::kZoneSample ||
-                 pending.kind == Pending::Kind::kZoneControl;
   const auto slot = table_.Find(pending.node);
   // A node whose zone is believed lost has to know it to object.
   if (slot && IsZoneLost(table_.zone(*slot)))
@@ -490,6 +508,7 @@
   }
   if (!joined_ && message.kind != GossipKind::kJoin) {
     joined_ = true;
+    DeferSeedContact(now);
     // The first answer may come from a node that has just started too, and not
     // know much.
     next_records_pull_ =
@@ -517,6 +536,7 @@
   }
   SendOptions options;
   options.essential = true;
+  options.bare = (message.token & kBareAckBit) != 0;
   options.first_update = AccusationOf(message.from.node);
   Send(message.from.gossip, std::move(ack), options, now);
 }
@@ -580,11 +600,11 @@
   if (!found)
     AddToProbeOrder(*slot);
   TrackLiveness(*slot, now);
-  const bool urgent = started || refuted ||
-                      record.backend_state == BackendState::kLeaving ||
-                      (own_statement && record.liveness == Liveness::kDead);
+  const bool departed = own_statement && record.liveness == Liveness::kDead;
+  const bool urgent =
+      refuted || (!departed && record.backend_state == BackendState::kLeaving);
   if (spread)
-    Enqueue(record.node, urgent, now);
+    Enqueue(record.node, urgent ? 2 : started || departed ? 1 : 0, now);
   Emit(MembershipEvent::Kind::kRecordChanged, *slot);
   return true;
 }
@@ -631,7 +651,7 @@
   ++counters_.suspicions;
   table_.set_liveness(*slot, Liveness::kSuspect);
   TrackLiveness(*slot, now);
-  Enqueue(node, false, now);
+  Enqueue(node, 0, now);
   Emit(MembershipEvent::Kind::kRecordChanged, *slot);
   suspects_[node].next_probe = now;
   ProbeSuspects(now);
@@ -654,7 +674,7 @@
     options.essential = true;
     options.bare = true;
     options.first_update = table_.Get(*slot);
-    Send(table_.gossip(*slot), MakeMessage(GossipKind::kProbe, random_()),
+    Send(table_.gossip(*slot), MakeMessage(GossipKind::kProbe, NewToken(false)),
          options, now);
   }
 }
@@ -664,12 +684,15 @@
   NoteTime(now);
   // What a repair finds has been missed by others too.
   for (const NodeRecord& record : records)
-    Apply(record, repairs_, now);
+    Apply(record, pulls_ > 0, now);
   pulled_size_ = table_.size();
   if (!next_records_pull_)
     next_records_pull_ =
         now + options_.second_pull_after + Jitter(options_.second_pull_after);
-  joined_ = joined_ || table_.size() > 1;
+  if (!joined_ && table_.size() > 1) {
+    joined_ = true;
+    DeferSeedContact(now);
+  }
 }
 
 void Membership::OwnChanged(bool urgent, Instant now) {
@@ -1007,7 +1030,7 @@
 }
 
 bool Membership::IsUrgent(const Update& update) const {
-  return update.urgent && update.transmissions < 2 * options_.push_fanout;
+  return update.transmissions < update.push_rounds * options_.push_fanout;
 }
 
 void Membership::AddUpdates(GossipMessage* message,
@@ -1042,25 +1065,27 @@
   });
 }
 
-void Membership::Enqueue(state::NodeId node, bool urgent, Instant now) {
-  if (urgent)
-    RequestPush(true, now);
+void Membership::Enqueue(state::NodeId node,
+                         std::uint8_t push_rounds,
+                         Instant now) {
+  if (push_rounds > 0)
+    RequestPush(push_rounds > 1, now);
   const auto found = std::find_if(
       updates_.begin(), updates_.end(),
       [node](const Update& update) { return update.node == node; });
   if (found != updates_.end()) {
-    *found = {node, 0, urgent};
+    *found = {node, 0, push_rounds};
     return;
   }
   if (updates_.size() < options_.max_queued_updates) {
-    updates_.push_back({node, 0, urgent});
+    updates_.push_back({node, 0, push_rounds});
     return;
   }
   const auto most = std::max_element(updates_.begin(), updates_.end(),
                                      [](const Update& a, const Update& b) {
                                        return a.transmissions < b.transmissions;
                                      });
-  *most = {node, 0, urgent};
+  *most = {node, 0, push_rounds};
 }
 
 void Membership::RequestPush(bool repeat, Instant now) {
@@ -1089,13 +1114,15 @@
   }
 }
 
-// More new updates than the next probe and ack can carry: uses what the budget
-// has to spare.
+// More young updates than probes and acks can carry: uses what the budget has
+// to spare. After log2(n) sends by each of n nodes, less than one node on
+// average has missed an update.
 void Membership::RelieveBacklog(Instant now) {
-  const auto unsent = static_cast<std::size_t>(std::count_if(
+  const double young = Doublings();
+  const auto waiting = static_cast<std::size_t>(std::count_if(
       updates_.begin(), updates_.end(),
-      [](const Update& update) { return update.transmissions == 0; }));
-  if (unsent < options_.backlog || tokens_ < options_.burst_bytes / 2)
+      [young](const Update& update) { return update.transmissions < young; }));
+  if (waiting < options_.backlog || tokens_ < options_.burst_bytes / 2)
     return;
   if (const auto slot = RandomLiveSlot())
     Send(table_.gossip(*slot), MakeMessage(GossipKind::kPush, 0), {}, now);
@@ -1107,6 +1134,11 @@
   return std::max(1.0, std::log2(static_cast<double>(table_.size())));
 }
 
+std::uint64_t Membership::NewToken(bool bare_ack) {
+  const std::uint64_t token = random_() & ~kBareAckBit;
+  return bare_ack ? token | kBareAckBit : token;
+}
+
 Duration Membership::Jitter(Duration span) {
   return Duration(static_cast<std::int64_t>(
       random_() % static_cast<std::uint64_t>(span.count())));
