Count requests refused before their service is known

Cause: requests refused with 211, 401 or 408 before their service was looked up were answered without being counted, so that the documented alert on 211 (a node without configuration) could not be raised from the metrics. Change: they are counted under service 'unknown'; names from outside are not used as labels, which would use up the series of the inventory. Measured: NodeTest.CountsRequestsRefusedBeforeTheirServiceIsKnown failed before and passes now, 50 of 50 repeats. Conclusion: each refusal of the caller port with a result code is counted, but for those that the HTTP server refuses as malformed.

--- a/lib/transport/request_handler.cc
+++ b/lib/transport/request_handler.cc
@@ -199,7 +199,10 @@
 bool RequestHandler::CheckService(const std::shared_ptr<HttpExchange>& exchange,
                                   std::string_view* service,
                                   std::string_view* path) {
-  const auto refuse = [&exchange](ResultCode code, std::string_view detail) {
+  const auto refuse = [this, &exchange](ResultCode code,
+                                        std::string_view detail) {
+    // Names from outside would use up the series of the inventory's services.
+    metrics_.CountRequest("unknown", code, state::Duration(0));
     RespondProblem(exchange, code, RunState::kNotRun, detail, {},
                    state::Duration(0));
     return false;
