--- a/bench/demo.cc
+++ b/bench/demo.cc
@@ -1,10 +1,11 @@
 /// \file
 /// The demo: a small deployment as separate processes, a surge, and a table of
-/// what was served, shed and refused.
+/// what was served, shed and refused. `demo --hold` starts the deployment only.
 #include <fmt/format.h>
 
 #include <cstdio>
 #include <fstream>
+#include <string_view>
 
 #include "deployments.h"
 
@@ -32,10 +33,26 @@
   return path;
 }
 
-int Run() {
+// Leaves the deployment running, to be tried by hand.
+int Hold(const Cluster& cluster, std::vector<Host>& hosts) {
+  fmt::print("platform {}\noperators' token in {}\n", cluster.PlatformUrl(),
+             cluster.TokenFile());
+  for (const Host& host : hosts)
+    fmt::print("{:<14} {:<11} callers {} operators {} backend server {}\n",
+               host.name, host.zone, host.ports.caller, host.ports.operators,
+               host.backend_port);
+  fmt::print("press Enter to stop\n");
+  std::fflush(stdout);
+  std::getchar();
+  return 0;
+}
+
+int Run(bool hold) {
   fmt::print("starting the platform, 10 nodes and 10 backend servers ...\n");
   const Deployment deployment = Colmenar(kServers, "adaptive");
   Cluster cluster(deployment.spec);
+  if (hold)
+    return Hold(cluster, cluster.hosts());
   fmt::print(
       "capacity of the chain {:.0f} requests/s; 3 s at 0.6 of it, 5 s at 3 "
       "times, 4 s at 0.6\n",
@@ -51,9 +68,10 @@
 }  // namespace
 }  // namespace sesamespread::bench
 
-int main() {
+int main(int argc, char** argv) {
   try {
-    return sesamespread::bench::Run();
+    return sesamespread::bench::Run(argc > 1 &&
+                                    std::string_view(argv[1]) == "--hold");
   } catch (const std::exception& error) {
     fmt::print(stderr, "demo: {}\n", error.what());
     return 1;
