--- a/lib/coordination/membership.cc
+++ b/lib/coordination/membership.cc
@@ -433,7 +433,9 @@
                            Instant now) {
   const bool bare = pending.kind == Pending::Kind::kZoneSample ||
                     pending.kind == Pending::Kind::kZoneControl;
-  const std::uint64_t token = NewToken(bare);
+  RefillBudget(now);
+  // Asks for no updates after more was received than the budget allows.
+  const std::uint64_t token = NewToken(bare || tokens_ < 0);
   GossipMessage message = MakeMessage(GossipKind::kProbe, token);
   SendOptions options;
   options.essential = true;
