Count a pull of node records without answer as failed

Cause: a node whose link broke during the pull after its join kept a part of the records until the hourly pull. Change: a part that has not arrived after 2 s ends the pull, and membership names another node.

--- a/include/sesamespread/transport/control_plane.h
+++ b/include/sesamespread/transport/control_plane.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -103,6 +104,8 @@
   void HandleEvents();
   void HandleEvent(const coordination::MembershipEvent& event);
   void Pull(const coordination::ConfigurationPullOrder& order);
+  void PullRecords(const state::NodeRecord& from, std::uint32_t from_index);
+  void OnRecords(state::NodeId from, const protocol::NodeRecordsPush& push);
   void PublishConfiguration();
   void PublishServers();
   bool IsReader() const;
@@ -121,6 +124,8 @@
   std::set<std::string, std::less<>> subscribed_;
   std::set<std::string, std::less<>> dirty_;
   state::ConfigurationVersion published_version_ = 0;
+  // When the pull of node records in progress counts as failed.
+  std::optional<state::Instant> records_pull_deadline_;
 };
 
 }  // namespace sesamespread::transport
--- a/lib/transport/control_plane.cc
+++ b/lib/transport/control_plane.cc
@@ -12,6 +12,9 @@
 // What Membership and ConfigurationReplica ask for.
 constexpr state::Duration kTickInterval = std::chrono::milliseconds(100);
 
+// A part of the records that takes longer is pulled from another node.
+constexpr state::Duration kRecordsPullTimeout = std::chrono::seconds(2);
+
 // Records in one answer to a pull.
 constexpr std::size_t kRecordsPerPush = 64 << 10;
 
@@ -101,14 +104,24 @@
       reply(std::move(push));
     return;
   }
-  const auto* push = std::get_if<protocol::NodeRecordsPush>(&message);
-  if (!push)
-    return;
-  membership_->ApplyRecords(push->records, now);
+  if (const auto* push = std::get_if<protocol::NodeRecordsPush>(&message))
+    OnRecords(from, *push);
+}
+
+void ControlPlane::PullRecords(const state::NodeRecord& from,
+                               std::uint32_t from_index) {
+  records_pull_deadline_ = Now() + kRecordsPullTimeout;
+  events_.OnSendControl(from.node, from.peer,
+                        protocol::NodeRecordsPull{from_index});
+}
+
+void ControlPlane::OnRecords(state::NodeId from,
+                             const protocol::NodeRecordsPush& push) {
+  membership_->ApplyRecords(push.records, Now());
+  records_pull_deadline_.reset();
   const auto record = membership_->Find(from);
-  if (push->next_index < push->total && !push->records.empty() && record)
-    events_.OnSendControl(from, record->peer,
-                          protocol::NodeRecordsPull{push->next_index});
+  if (push.next_index < push.total && !push.records.empty() && record)
+    PullRecords(*record, push.next_index);
   AfterChange();
 }
 
@@ -151,6 +164,10 @@
 void ControlPlane::Tick() {
   const state::Instant now = Now();
   membership_->Tick(now);
+  if (records_pull_deadline_ && now >= *records_pull_deadline_) {
+    records_pull_deadline_.reset();
+    membership_->OnRecordsPullFailed(now);
+  }
   for (const coordination::ConfigurationPullOrder& order : replica_.Tick(now))
     Pull(order);
   if (replica_.ShouldReadPlatform(IsReader(), membership_->isolated(), now))
@@ -210,8 +227,7 @@
         Pull(*order);
       return;
     case Kind::kPullRecords:
-      events_.OnSendControl(event.record.node, event.record.peer,
-                            protocol::NodeRecordsPull{0});
+      PullRecords(event.record, 0);
       return;
     case Kind::kSuperseded:
       LogMembership("superseded", event);
