Apply changed slots without a new admission controller

Cause: lowering a service's slots in the inventory replaced the controller of each of its backend servers, which refused what was queued and forgot what was in progress. Change: the controller of the same instance gets the new slots.

--- a/lib/transport/data_plane.cc
+++ b/lib/transport/data_plane.cc
@@ -271,7 +271,10 @@
                 {"port", std::to_string(backend.endpoint.port)},
                 {"slots", std::to_string(backend.slots)}});
     // A new backend server takes the place of one that has left.
-    if (!stopping_)
+    const bool is_new = !executor_.backend() ||
+                        executor_.backend()->endpoint != backend.endpoint ||
+                        executor_.backend()->instance != backend.instance;
+    if (is_new && !stopping_)
       executor_.SetLeaving(false);
     executor_.SetBackend(std::move(backend));
   }
--- a/lib/transport/local_executor.cc
+++ b/lib/transport/local_executor.cc
@@ -185,6 +185,15 @@
 void LocalExecutor::SetBackend(std::optional<BackendInfo> backend) {
   if (backend == backend_)
     return;
+  if (backend && backend_ && admission_ &&
+      backend->endpoint == backend_->endpoint &&
+      backend->instance == backend_->instance &&
+      backend->service == backend_->service) {
+    // Operators have changed its slots; what is in progress goes on.
+    backend_ = std::move(backend);
+    admission_->set_slots(backend_->slots);
+    return;
+  }
   if (admission_)
     Apply(admission_->RefuseQueued(ResultCode::kNoBackendServer, Now()));
   backend_ = std::move(backend);
