Define the ticket of a request once

Cause: admission.h and retry_budget.h both declared Ticket. Change: coordination/ticket.h. Conclusion: one name, one place.

--- a/include/sesamespread/coordination/admission.h
+++ b/include/sesamespread/coordination/admission.h
@@ -17,15 +17,13 @@
 #include "sesamespread/coordination/concurrency_limiter.h"
 #include "sesamespread/coordination/latency_histogram.h"
 #include "sesamespread/coordination/shedding.h"
+#include "sesamespread/coordination/ticket.h"
 #include "sesamespread/state/request_context.h"
 #include "sesamespread/state/result_code.h"
 #include "sesamespread/state/time.h"
 
 namespace sesamespread::coordination {
 
-/// Names a request at its node from Offer until it is refused or finished.
-using Ticket = std::uint64_t;
-
 /// How a backend server is protected. The first two are the baselines that
 /// kAdaptive is measured against.
 enum class AdmissionPolicy : std::uint8_t {
--- a/include/sesamespread/coordination/retry_budget.h
+++ b/include/sesamespread/coordination/retry_budget.h
@@ -16,16 +16,13 @@
 #include <utility>
 #include <vector>
 
+#include "sesamespread/coordination/ticket.h"
 #include "sesamespread/state/request_context.h"
 #include "sesamespread/state/result_code.h"
 #include "sesamespread/state/time.h"
 
 namespace sesamespread::coordination {
 
-/// Names a request in progress to the backend server that executes it; 0 names
-/// none.
-using Ticket = std::uint64_t;
-
 /// Id of one attempt of a sub-call in a ledger; never reused. 0 stands for a
 /// sub-call without context, which has no retries.
 using AttemptId = std::uint64_t;
