Name errors of the backend server in the load table

Cause: 'refused with 100 Ok' stood for answers with an error status that the backend server itself had sent, here after a sub-call of it was refused. Measured: make demo's program printed '118 refused with 100 Ok' before; LoadReportTest.TellsErrorsOfTheBackendServerFromRefusals passes now. Conclusion: refusals by the system and errors behind it are told apart.

--- a/lib/transport/load_report.cc
+++ b/lib/transport/load_report.cc
@@ -63,6 +63,9 @@
 
 std::string RefusalName(int code) {
   constexpr int kFirstStatusUnknown = 600;
+  // The node delivered an answer, which is an error of the backend server.
+  if (state::IsAnswered(static_cast<state::ResultCode>(code)))
+    return fmt::format("an error of the backend server ({})", code);
   const auto& info = state::InfoOf(static_cast<state::ResultCode>(code));
   const bool known = static_cast<int>(info.code) == code;
   return known && code < kFirstStatusUnknown
--- a/unittests/transport/load_generator_test.cc
+++ b/unittests/transport/load_generator_test.cc
@@ -215,6 +215,21 @@
   EXPECT_DOUBLE_EQ(GoodputShare(report, 0s, 1s), 0.4);
 }
 
+// Guards against "refused with 100 Ok" for an error status that the backend
+// server itself has sent.
+TEST(LoadReportTest, TellsErrorsOfTheBackendServerFromRefusals) {
+  LoadReport report;
+  report.kinds.resize(1);
+  report.kinds[0].name = "browsing";
+  report.kinds[0].counts.refused = {{100, 118}, {200, 3}};
+  const std::string table = FormatLoadTable(report);
+  EXPECT_NE(table.find("118 refused with an error of the backend server (100)"),
+            std::string::npos)
+      << table;
+  EXPECT_NE(table.find("3 refused with 200 ShedAtEntry"), std::string::npos)
+      << table;
+}
+
 TEST(LoadReportTest, ComputesQuantiles) {
   Latencies latencies;
   for (std::uint32_t i = 1000; i > 0; --i)
