Add the benchmark driver

Cause: the targets of the design page had no program that measures them. The stand-in backend server also resets its connection when a sub-call fails under fail=reset, so that every hop fails.

--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,8 @@
 # A deployment of separate processes, a surge, and a table of the outcome.
 demo: build
 	build/bench/demo
+
+# The targets of section 8 of docs/design.md, each beside its baselines; about
+# 7 minutes. One benchmark: build/bench/bench --only <name>.
+bench: build
+	build/bench/bench --images docs/images
--- /dev/null
+++ b/bench/measure.cc
@@ -0,0 +1,216 @@
+/// \file
+/// Load runs of the benchmarks, their time series and the output lines.
+#include "measure.h"
+
+#include <fmt/format.h>
+#include <stdlib.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace sesamespread::bench {
+namespace {
+
+constexpr double kRecoveredShare = 0.95;
+constexpr double kRecoveredWindow = 1.0;
+constexpr std::chrono::minutes kLoadTimeout{3};
+
+// The schedule begins this long after the verb starts: the time for its own
+// start and for fetching keys.
+constexpr std::chrono::milliseconds kLeadTime{530};
+
+std::vector<std::string> Split(const std::string& line) {
+  std::vector<std::string> parts;
+  std::istringstream text(line);
+  for (std::string part; std::getline(text, part, ',');)
+    parts.push_back(part);
+  return parts;
+}
+
+std::string ColumnOf(const std::string& what, const std::string& kind) {
+  return kind.empty() ? what : what + "_" + kind;
+}
+
+}  // namespace
+
+LoadResult::LoadResult(const std::string& json, const std::string& csv_path)
+    : json_(web::json::value::parse(json)), csv_path_(csv_path) {
+  std::ifstream file(csv_path);
+  std::vector<std::string> names;
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("#"))
+      continue;
+    const std::vector<std::string> parts = Split(line);
+    if (names.empty()) {
+      names = parts;
+      continue;
+    }
+    for (std::size_t i = 0; i < std::min(parts.size(), names.size()); ++i)
+      columns_[names[i]].push_back(std::strtod(parts[i].c_str(), nullptr));
+  }
+}
+
+double LoadResult::Sum(const std::string& name, double from, double to) const {
+  const auto column = columns_.find(name);
+  if (column == columns_.end())
+    return 0;
+  const auto index = [](double seconds) {
+    return static_cast<std::size_t>(
+        std::max(0.0, std::round(seconds / kIntervalSeconds)));
+  };
+  double sum = 0;
+  const std::size_t end = std::min(index(to), column->second.size());
+  for (std::size_t i = index(from); i < end; ++i)
+    sum += column->second[i];
+  return sum;
+}
+
+double LoadResult::Goodput(double from,
+                           double to,
+                           const std::string& kind) const {
+  return Sum(ColumnOf("in_time", kind), from, to) / (to - from);
+}
+
+double LoadResult::Share(double from,
+                         double to,
+                         const std::string& kind) const {
+  const double offered = Sum(ColumnOf("offered", kind), from, to);
+  return offered == 0 ? 1 : Sum(ColumnOf("in_time", kind), from, to) / offered;
+}
+
+std::optional<double> LoadResult::Recovery(double end,
+                                           const std::string& important) const {
+  for (double at = end; at + kRecoveredWindow <= seconds() + 1e-6;
+       at += kIntervalSeconds) {
+    if (Share(at, at + kRecoveredWindow) >= kRecoveredShare &&
+        Share(at, at + kRecoveredWindow, important) >= kRecoveredShare)
+      return at - end;
+  }
+  return std::nullopt;
+}
+
+double LoadResult::Latency(const std::string& name) const {
+  return json_.at("kinds").at(0).at("latency_ms").at(name).as_double();
+}
+
+double LoadResult::InTime(const std::string& kind) const {
+  return Sum(ColumnOf("in_time", kind), 0, seconds());
+}
+
+double LoadResult::seconds() const {
+  return json_.at("duration_s").as_double();
+}
+
+LoadRun::LoadRun(const Cluster& cluster,
+                 const std::string& name,
+                 const std::string& scenario,
+                 const std::string& targets,
+                 std::vector<std::string> more)
+    : csv_path_(cluster.directory() + "/" + name + ".csv") {
+  const std::string path = cluster.directory() + "/" + name + ".load.yaml";
+  std::ofstream(path) << scenario;
+  std::vector<std::string> arguments = {BinaryDir() + "/tools/sesamespread",
+                                        "load",
+                                        "--scenario",
+                                        path,
+                                        "--target",
+                                        targets,
+                                        "--seed",
+                                        std::to_string(kSeed),
+                                        "--output",
+                                        "json",
+                                        "--csv",
+                                        csv_path_};
+  arguments.insert(arguments.end(), more.begin(), more.end());
+  begin_ = std::chrono::steady_clock::now() + kLeadTime;
+  process_ = std::make_unique<Process>(
+      arguments, cluster.directory() + "/" + name + ".load.log");
+}
+
+void LoadRun::SleepUntil(double seconds) const {
+  std::this_thread::sleep_until(
+      begin_ + std::chrono::microseconds(std::llround(seconds * 1e6)));
+}
+
+LoadResult LoadRun::Finish() {
+  const std::string output = process_->ReadAll();
+  process_->Wait(kLoadTimeout);
+  if (output.find('{') == std::string::npos)
+    throw std::runtime_error("the load printed no report: " + output);
+  return {output, csv_path_};
+}
+
+std::string ImpatientCallers(const Deployment& deployment,
+                             const std::vector<Phase>& phases,
+                             double duration_s) {
+  std::string text = fmt::format(
+      "duration: {:.0f}ms\nkinds:\n"
+      "  - {{name: orders, method: POST, path: {}, share: 2, timeout: 2s,"
+      " key: issued, body_bytes: 256, repeats: 3, patience: 800ms,"
+      " after_refusal: wait}}\n"
+      "  - {{name: browsing, path: {}, share: 8, timeout: 1s, repeats: 3,"
+      " patience: 500ms, after_refusal: repeat}}\nphases:\n",
+      duration_s * 1000, deployment.order_path, deployment.browse_path);
+  for (const Phase& phase : phases) {
+    text += fmt::format("  - {{at: {:.0f}ms, rate: {:.0f}}}\n",
+                        phase.at_s * 1000, phase.rate);
+  }
+  return text;
+}
+
+void Output::Print(const std::string& line) {
+  fmt::print("{}\n", line);
+  std::fflush(stdout);
+  lines_.push_back(line);
+}
+
+void Output::Line(const std::string& name,
+                  double value,
+                  const std::string& unit,
+                  Bound bound,
+                  double target) {
+  constexpr double kRounding = 1e-9;
+  bool is_ok = true;
+  if (bound == Bound::kAtMost)
+    is_ok = value <= target + kRounding;
+  else if (bound == Bound::kAtLeast)
+    is_ok = value >= target - kRounding;
+  else if (bound == Bound::kExactly)
+    is_ok = std::abs(value - target) < kRounding;
+  shorts_ += is_ok ? 0 : 1;
+  Print(fmt::format("bench {} {:.4g} {} {} {}", name, value, unit,
+                    bound == Bound::kNone ? "-" : fmt::format("{:g}", target),
+                    is_ok ? "ok" : "short"));
+}
+
+void Output::Missing(const std::string& name,
+                     const std::string& unit,
+                     double target) {
+  ++shorts_;
+  Print(fmt::format("bench {} never {} {:g} short", name, unit, target));
+}
+
+void Output::Note(const std::string& text) {
+  Print("# " + text);
+}
+
+double LoadAverage() {
+  double average = 0;
+  return getloadavg(&average, 1) == 1 ? average : -1;
+}
+
+double Median(std::vector<double> values) {
+  if (values.empty())
+    return 0;
+  std::sort(values.begin(), values.end());
+  const std::size_t middle = values.size() / 2;
+  return values.size() % 2 == 1 ? values[middle]
+                                : (values[middle - 1] + values[middle]) / 2;
+}
+
+}  // namespace sesamespread::bench
--- a/tools/standins/backend.cc
+++ b/tools/standins/backend.cc
@@ -336,6 +336,10 @@
       return;
     }
     End(job, false);
+    if (fail_ == "reset") {
+      job->exchange.reset();
+      return;
+    }
     HttpResponse response =
         TextResponse(503, fmt::format("the call of {} failed with {}\n",
                                       options_.calls[index].service,
