Pass open thresholds of deep services on to first hops

Cause: answers carried the threshold of a service deeper in the chain only while it was below the top. When it opened again, first hops were not told and shed on until the last report expired; the deep service had free slots (13.4 of 15 in use) while 12,787 requests were refused at the entry. Change: ThresholdsBelow reports each service below, open or not.

--- a/lib/transport/call_dispatcher.cc
+++ b/lib/transport/call_dispatcher.cc
@@ -167,9 +167,9 @@
   std::vector<protocol::ServiceThreshold> thresholds;
   const state::Instant now = Now();
   for (const std::string& below : configuration_->ServicesBelow(service)) {
-    const std::uint32_t threshold = thresholds_.EntryThreshold(below, now);
-    if (threshold < state::kPriorityCount)
-      thresholds.push_back({below, threshold});
+    // An open threshold is passed on as well: the first hops would keep the
+    // last lower one until it expires and shed what now fits.
+    thresholds.push_back({below, thresholds_.EntryThreshold(below, now)});
   }
   return thresholds;
 }
