--- a/bench/bench.cc
+++ b/bench/bench.cc
@@ -428,6 +428,7 @@
   ClusterSpec spec;
   spec.inventory = SourceDir() + "/bench/chain.yaml";
   spec.zones = {"zone-a"};
+  spec.services.reserve(kHops);
   for (int hop = 1; hop <= kHops; ++hop) {
     spec.services.push_back(
         {fmt::format("s{}", hop),
@@ -560,6 +561,7 @@
   for (const Row& row : kRows) {
     cluster.ControlPlatform(row.control);
     std::vector<double> times;
+    times.reserve(3);
     for (int i = 0; i < 3; ++i) {
       times.push_back(ApplyAndWait(cluster, deployment.spec.inventory,
                                    fmt::format("{}m", 6 + change++)));
@@ -643,6 +645,7 @@
        }},
       {"node_killed", 0, [&] { first.node->Signal(SIGKILL); }, {}, {}}};
   std::vector<FaultResult> results;
+  results.reserve(faults.size());
   for (const Fault& fault : faults) {
     results.push_back(RunFault(cluster, deployment, fault));
     if (fault.name == "platform_down") {
--- a/unittests/transport/call_dispatcher_test.cc
+++ b/unittests/transport/call_dispatcher_test.cc
@@ -40,7 +40,7 @@
   DeadlineQueue deadlines(context);
   NoExecutor executor;
   OutboundCalls outbound(context, deadlines, protocol::Hello{},
-                         [](state::NodeId, protocol::PeerMessage) {});
+                         [](state::NodeId, const protocol::PeerMessage&) {});
   Metrics metrics;
   CallDispatcher dispatcher(context, deadlines, 1, "litoral-a", executor,
                             outbound, metrics, [](const std::string&) {});
