--- a/bench/harness/cluster.cc
+++ b/bench/harness/cluster.cc
@@ -191,6 +191,10 @@
     arguments.push_back("--calls");
     arguments.push_back(service.calls);
   }
+  if (spec_.journals) {
+    arguments.push_back("--journal");
+    arguments.push_back(JournalOf(host));
+  }
   arguments.insert(arguments.end(), service.options.begin(),
                    service.options.end());
   host.backend = std::make_unique<Process>(
@@ -242,6 +246,10 @@
                     std::chrono::minutes(10));
 }
 
+std::string Cluster::JournalOf(const Host& host) const {
+  return fmt::format("{}/{}-journal.txt", directory_, host.name);
+}
+
 std::string Cluster::PlatformUrl() const {
   return fmt::format("http://127.0.0.1:{}", platform_port_);
 }
--- a/bench/harness/cluster.h
+++ b/bench/harness/cluster.h
@@ -40,6 +40,8 @@
   /// More lines of YAML for each node's settings.
   std::string node_settings;
   std::vector<std::string> platform_options;
+  /// Whether each backend server writes what it starts to JournalOf(host).
+  bool journals = false;
 };
 
 /// Ports of a running node.
@@ -105,6 +107,10 @@
   /// "127.0.0.1:port,..." of the caller ports.
   std::string CallerTargets() const;
 
+  /// File with a line "<started> <service> <trace id> <key> <path>" for each
+  /// request that \p host's backend servers started, killed ones included.
+  std::string JournalOf(const Host& host) const;
+
   const std::string& directory() const { return directory_; }
 
  private:
--- a/tools/standins/backend.cc
+++ b/tools/standins/backend.cc
@@ -11,6 +11,7 @@
 #include <cmath>
 #include <cstdio>
 #include <deque>
+#include <fstream>
 #include <memory>
 #include <optional>
 #include <random>
@@ -91,6 +92,9 @@
  public:
   explicit Backend(BackendOptions options)
       : options_(std::move(options)),
+        journal_(options_.journal.empty()
+                     ? std::ofstream()
+                     : std::ofstream(options_.journal, std::ios::app)),
         random_(options_.seed),
         client_(context_, {.max_connections_per_endpoint = 4096}),
         sharing_(context_, options_.slots, options_.cold_start),
@@ -251,6 +255,7 @@
   void Start(const JobPtr& job) {
     ++started_;
     job->started = last_started_ = WallMicros();
+    WriteJournal(*job);
     SetInProgress(sharing_.in_progress() + 1);
     job->slot_seconds_at_start = sharing_.slot_seconds();
     job->exchange->OnAbandoned([this, job] { End(job, true); });
@@ -275,6 +280,16 @@
     Work(job, work - job->second_half);
   }
 
+  /// Adds a started request to the journal before any work is done on it.
+  void WriteJournal(const Job& job) {
+    if (!journal_.is_open())
+      return;
+    journal_ << fmt::format("{} {} {} {} {}\n", job.started, options_.service,
+                            job.trace_id, job.key.empty() ? "-" : job.key,
+                            job.exchange->request().target)
+             << std::flush;
+  }
+
   /// Does \p amount seconds of work and then the job's next step.
   void Work(const JobPtr& job, double amount) {
     job->work = sharing_.Add(amount, [this, job] {
@@ -427,6 +442,7 @@
 
   const BackendOptions options_;
   boost::asio::io_context context_{1};
+  std::ofstream journal_;
   std::mt19937_64 random_;
   HttpClient client_;
   std::optional<HttpServer> server_;
--- a/tools/standins/backend_options.cc
+++ b/tools/standins/backend_options.cc
@@ -56,6 +56,7 @@
   options.lag = seconds("lag-ms");
   options.answer_bytes = parsed["answer-bytes"].as<std::size_t>();
   options.seed = parsed["seed"].as<std::uint64_t>();
+  options.journal = parsed["journal"].as<std::string>();
   return options;
 }
 
@@ -81,6 +82,7 @@
       ("lag-ms", "age of the load report", cxxopts::value<double>()->default_value("0"))
       ("answer-bytes", "least size of an answer", cxxopts::value<std::size_t>()->default_value("0"))
       ("seed", "seed of the service times", cxxopts::value<std::uint64_t>()->default_value("1"))
+      ("journal", "file for a line per started request", cxxopts::value<std::string>()->default_value(""))
       ("help", "print this text");
   // clang-format on
   const auto parsed = options.parse(argc, argv);
--- a/tools/standins/backend_options.h
+++ b/tools/standins/backend_options.h
@@ -40,6 +40,9 @@
   Seconds lag{0};
   std::size_t answer_bytes = 0;
   std::uint64_t seed = 1;
+  /// File that gets a line for each request that is started; it outlives a
+  /// kill of this process. None if empty.
+  std::string journal;
 };
 
 /// Parses the command line; nullopt after printing the help.
