Add the fault matrix and the soak of orders

Cause: the invariants have to hold when a fault meets any step of a request, a configuration change or a drain.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all setup build test check check-asan check-tsan format format-check lint \
-  demo bench matrix slopes fuzz clean
+  demo bench matrix soak slopes fuzz clean
 
 all: build
 
@@ -51,3 +51,11 @@
 # A deployment of separate processes, a surge, and a table of the outcome.
 demo: build
 	build/bench/demo
+
+# Steps of a request, a configuration change and a drain with each fault.
+matrix: build
+	build/test/matrix/matrix_tests --gtest_brief=1
+
+# Orders under random faults; counts duplicates and false not_run.
+soak: build
+	build/bench/soak
--- /dev/null
+++ b/test/matrix/checker_test.cc
@@ -0,0 +1,75 @@
+/// \file
+/// Proves that the checker reports a violation where a mechanism is off.
+#include <gtest/gtest.h>
+
+#include "harness/http.h"
+#include "world.h"
+
+namespace sesamespread::matrix {
+namespace {
+
+using bench::Answer;
+using bench::CallerRequest;
+
+// Guards against a checker that does not see an order that ran twice: two
+// issued keys are the same as no at-most-once execution.
+TEST(CheckerTest, ReportsOrderThatRanTwice) {
+  World world;
+  const std::uint16_t port = world.cluster().hosts()[2].ports.caller;
+  CallerRequest order = world.Order(bench::IssueKey(port, "orders"));
+  std::vector<Answer> answers = {bench::Send(port, order)};
+  std::vector<bench::Started> started = bench::ReadJournals(world.cluster());
+  ASSERT_EQ(answers[0].status, 200);
+  EXPECT_TRUE(bench::CheckAll(answers, started, {}).empty());
+  order.key = bench::IssueKey(port, "orders");
+  answers.push_back(bench::Send(port, order));
+  started = bench::ReadJournals(world.cluster());
+  EXPECT_FALSE(bench::CheckAtMostOnce(answers, started).empty());
+
+  // Guards against a checker that believes an answer: the same order with a
+  // forged `not_run`.
+  for (Answer& answer : answers)
+    answer.not_run = true;
+  EXPECT_FALSE(bench::CheckNotRun(answers, started).empty());
+
+  // Guards against a checker that takes another request's answer as whole.
+  Answer other = answers[0];
+  other.request.trace_id = bench::NewTraceId();
+  EXPECT_FALSE(bench::CheckAnswers({other}).empty());
+  Answer shortened = answers[0];
+  shortened.body.pop_back();
+  EXPECT_FALSE(bench::CheckAnswers({shortened}).empty());
+}
+
+// Guards against a product that passes on a truncated answer as complete: the
+// stand-in announces more bytes than it sends.
+TEST(CheckerTest, TruncatedAnswerIsAnError) {
+  World world;
+  for (const bench::Host* host : world.cluster().HostsOf("ledger"))
+    bench::Cluster::ControlBackend(*host, R"({"fail":"truncate"})");
+  CallerRequest request = world.Order("");
+  request.service = "ledger";
+  const Answer answer =
+      bench::Send(world.cluster().hosts()[0].ports.caller, request);
+  EXPECT_NE(answer.status, 200);
+  EXPECT_FALSE(answer.not_run);
+  EXPECT_FALSE(bench::ReadJournals(world.cluster()).empty());
+}
+
+// Guards against a checker that does not count the repeats of a backend server
+// that drops the headers: each of its repeats is a new trace to the node.
+TEST(CheckerTest, ReportsRetriesOfBackendServer) {
+  World world("adaptive", {"--drop-headers", "--call-retries", "6"});
+  for (const bench::Host* host : world.cluster().HostsOf("inventory"))
+    bench::Cluster::ControlBackend(*host, R"({"fail":"500"})");
+  const Answer answer =
+      bench::Send(world.cluster().hosts()[2].ports.caller, world.Order(""));
+  std::vector<bench::Started> started = bench::ReadJournals(world.cluster());
+  // The only request: whatever ran belongs to it.
+  for (bench::Started& one : started)
+    one.trace_id = answer.request.trace_id;
+  EXPECT_FALSE(bench::CheckAttempts({answer}, started, {}).empty());
+}
+
+}  // namespace
+}  // namespace sesamespread::matrix
