--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all setup build test check check-asan check-tsan format format-check lint \
-  demo bench matrix slopes fuzz clean
+  demo bench matrix soak slopes fuzz clean
 
 all: build
 
@@ -59,3 +59,12 @@
 # 7 minutes. One benchmark: build/bench/bench --only <name>.
 bench: build
 	build/bench/bench --images docs/images
+
+# Steps of a request, a configuration change and a drain with each fault;
+# three deployments share the cells.
+matrix: build
+	build/test/matrix/matrix_tests --shards=3 --gtest_brief=1
+
+# Orders under random faults; counts duplicates and false not_run.
+soak: build
+	build/bench/soak
