Keep a node running until its answers are written

Cause: by reading, not by a failing run: the shutdown did not count answers still being written to callers; a forced end left requests at other nodes without a result; the platform worker was destroyed while two threads used it and was read before its construction; a keyed repeat was refused as not_run if the backend server or the link was gone.

--- a/include/sesamespread/transport/data_plane.h
+++ b/include/sesamespread/transport/data_plane.h
@@ -101,7 +101,8 @@
   /// Ends everything in flight with its final result.
   void EndAll();
 
-  /// True if nothing is in flight and no byte of an answer waits.
+  /// True if nothing is in flight and no byte of an answer waits. Only
+  /// meaningful after StopAccepting, which closes idle connections of callers.
   bool IsIdle() const;
 
   DataStatus Status();
--- a/include/sesamespread/transport/local_executor.h
+++ b/include/sesamespread/transport/local_executor.h
@@ -124,6 +124,7 @@
   Ticket NewTicket();
   bool CheckRequest(Ticket ticket, Execution& execution);
   bool BeginKey(Ticket ticket, Execution& execution);
+  bool CheckBackend(Ticket ticket, const Execution& execution);
   void Offer(Ticket ticket, Execution& execution);
   void Start(Ticket ticket);
   HttpRequest MakeHttpRequest(Ticket ticket, const Execution& execution) const;
--- a/include/sesamespread/transport/platform_worker.h
+++ b/include/sesamespread/transport/platform_worker.h
@@ -55,6 +55,7 @@
   using Task = std::function<void()>;
 
   void Run();
+  void DrainClaims();
   void DoReadHead();
   void DoRead(const coordination::PlatformReadOrder& order);
   void ReadFull();
--- a/include/sesamespread/transport/request_handler.h
+++ b/include/sesamespread/transport/request_handler.h
@@ -65,6 +65,9 @@
 
   void OnClaimReply(const coordination::ClaimTableReply& reply);
 
+  /// Answers all requests at once, as `unknown`: they may run at other nodes.
+  void EndAll();
+
   /// Requests that have not been answered.
   std::size_t in_flight() const { return requests_.size(); }
 
--- a/lib/transport/call_dispatcher.cc
+++ b/lib/transport/call_dispatcher.cc
@@ -34,6 +34,14 @@
          code == ResultCode::kDeadlineBeforeStart;
 }
 
+// Results that this node may give without the executor's word. With a key that
+// is bound to that executor, an earlier request with the key may have run.
+bool IsOwnVerdict(ResultCode code) {
+  return code == ResultCode::kConnectFailed ||
+         code == ResultCode::kDeadlineBeforeStart ||
+         code == ResultCode::kNodeBusy;
+}
+
 bool IsFailure(ResultCode code) {
   return code == ResultCode::kLinkLost || code == ResultCode::kTimedOut ||
          code == ResultCode::kConnectFailed ||
@@ -355,7 +363,9 @@
   Call& call = node.mapped();
   call.order.ledger->Finish(call.attempt.id);
   // `not_run` speaks of all attempts, not only of the last one.
-  if (call.may_have_run && answer.run_state == RunState::kNotRun)
+  const bool may_have_run =
+      call.may_have_run || (call.order.target && IsOwnVerdict(answer.result));
+  if (may_have_run && answer.run_state == RunState::kNotRun)
     answer.run_state = RunState::kUnknown;
   call.done(std::move(answer));
 }
--- a/lib/transport/data_plane.cc
+++ b/lib/transport/data_plane.cc
@@ -192,11 +192,14 @@
 
 void DataPlane::EndAll() {
   executor_.EndAll();
+  handler_.EndAll();
 }
 
 bool DataPlane::IsIdle() const {
-  return handler_.in_flight() == 0 && executor_.in_flight() == 0 &&
-         inbound_.in_flight() == 0 && outbound_.in_flight() == 0;
+  // An answer that is still being written keeps its connection open.
+  return caller_server_->connection_count() == 0 && handler_.in_flight() == 0 &&
+         executor_.in_flight() == 0 && inbound_.in_flight() == 0 &&
+         outbound_.in_flight() == 0;
 }
 
 DataStatus DataPlane::Status() {
--- a/lib/transport/local_executor.cc
+++ b/lib/transport/local_executor.cc
@@ -228,7 +228,10 @@
   execution.request = std::move(request);
   execution.deadline = deadline;
   execution.done = std::move(done);
-  if (CheckRequest(ticket, execution) && BeginKey(ticket, execution))
+  // The key comes before the backend server: a request that has run gets its
+  // answer, and not a refusal as not run, also after its server is gone.
+  if (CheckRequest(ticket, execution) && BeginKey(ticket, execution) &&
+      CheckBackend(ticket, execution))
     Offer(ticket, execution);
   return ticket;
 }
@@ -317,7 +320,11 @@
                 "the key is bound to an earlier run of this node");
     return false;
   }
-  if (!backend_ || backend_->service != request.service) {
+  return true;
+}
+
+bool LocalExecutor::CheckBackend(Ticket ticket, const Execution& execution) {
+  if (!backend_ || backend_->service != execution.request.service) {
     FinishLater(ticket, ResultCode::kNoBackendServer, RunState::kNotRun,
                 "this node has no backend server of the service");
     return false;
@@ -363,8 +370,10 @@
   if (outcome.verdict == ExecutionTable::Verdict::kReplay) {
     boost::asio::post(
         context_, [this, ticket, stored = outcome.answer, alive = alive_] {
+          if (!*alive)
+            return;
           const auto found = executions_.find(ticket);
-          if (*alive && found != executions_.end())
+          if (found != executions_.end())
             Finish(ticket, Replayed(found->second.request, *stored));
         });
     return false;
--- a/lib/transport/node.cc
+++ b/lib/transport/node.cc
@@ -139,13 +139,14 @@
     control_thread_ = std::thread([this] { control_context_.run(); });
   }
 
+  // The data and the control thread use platform_, so that it goes after them.
   ~Impl() override {
     operator_api_.reset();
-    platform_.reset();
     control_context_.stop();
     data_context_.stop();
     control_thread_.join();
     data_thread_.join();
+    platform_.reset();
   }
 
   Impl(const Impl&) = delete;
@@ -358,7 +359,6 @@
 
   void PublishDataStatus() {
     board_.Set(data_.Status());
-    data_idle_ = data_.IsIdle();
     data_timer_.Schedule(
         Now() + (stopping_ ? kShutdownCheckInterval : kStatusInterval),
         [this] { PublishDataStatus(); });
@@ -401,10 +401,12 @@
   void CheckShutdown() {
     if (finished_)
       return;
-    // Asked anew each time, so that the answer is not from before the leave.
+    // Asked anew each time and used once, so that the answer is neither from
+    // before the leave nor from before a stall of the data thread.
+    const bool idle = data_idle_.exchange(false);
     main_to_data_.Push([this] { data_idle_ = data_.IsIdle(); });
     const state::Duration elapsed = Now() - shutdown_at_;
-    if (elapsed >= kMinShutdownTime && data_idle_) {
+    if (elapsed >= kMinShutdownTime && idle) {
       Finish(ExitReason::kDrained);
       return;
     }
@@ -460,16 +462,19 @@
   TaskRing platform_to_control_;
   TaskRing main_to_control_;
 
-  DataPlane data_;
-  ControlPlane control_;
-  std::unique_ptr<PlatformClient> client_;
-  std::unique_ptr<PlatformWorker> platform_;
-  std::unique_ptr<OperatorApi> operator_api_;
-
   std::atomic<bool> has_configuration_{false};
   std::atomic<bool> stopping_{false};
   std::atomic<bool> data_idle_{false};
 
+  // Set before the data and the control thread start and until they have ended.
+  // Declared before data_ and control_, whose constructors already send events.
+  std::unique_ptr<PlatformClient> client_;
+  std::unique_ptr<PlatformWorker> platform_;
+
+  DataPlane data_;
+  ControlPlane control_;
+  std::unique_ptr<OperatorApi> operator_api_;
+
   // Main thread only.
   bool shutdown_started_ = false;
   bool forced_ = false;
--- a/lib/transport/platform_worker.cc
+++ b/lib/transport/platform_worker.cc
@@ -84,15 +84,24 @@
   while (!stopping_) {
     work_.acquire();
     // Requests of callers go before reads of the configuration.
-    from_data_.Drain([](const Task& task) { task(); });
+    DrainClaims();
     from_control_.Drain([this](const Task& task) {
       if (!stopping_)
         task();
-      from_data_.Drain([](const Task& claim) { claim(); });
+      DrainClaims();
     });
   }
 }
 
+// Once the node stops nobody waits for an answer, and each call may take as
+// long as its timeout, so that the rest is dropped.
+void PlatformWorker::DrainClaims() {
+  from_data_.Drain([this](const Task& claim) {
+    if (!stopping_)
+      claim();
+  });
+}
+
 void PlatformWorker::DoReadHead() {
   head_waiting_ = false;
   const coordination::RowReply reply = table_.ReadRow(coordination::kHeadKey);
--- a/lib/transport/request_handler.cc
+++ b/lib/transport/request_handler.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <utility>
+#include <vector>
 
 #include "sesamespread/coordination/idempotency.h"
 #include "sesamespread/protocol/http_fields.h"
@@ -449,6 +450,22 @@
   Respond(request, answer);
 }
 
+void RequestHandler::EndAll() {
+  std::vector<RequestKey> keys;
+  keys.reserve(requests_.size());
+  for (const auto& [key, request] : requests_)
+    keys.push_back(key);
+  for (const RequestKey key : keys) {
+    const auto found = requests_.find(key);
+    if (found == requests_.end())
+      continue;
+    claims_.Cancel(key);
+    dispatcher_.Cancel(found->second.dispatch);
+    OnAnswer(key, FailedAnswer(found->second.call, ResultCode::kLeaving,
+                               RunState::kUnknown, "the node was stopped"));
+  }
+}
+
 void RequestHandler::OnAbandoned(RequestKey key) {
   auto node = requests_.extract(key);
   if (node.empty())
