Add fuzz targets and unit tests of the call path, not built yet

Result: none; nothing of this commit was compiled or run. Conclusion: a draft; make fuzz is not part of make check yet.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,11 @@
 	cmake --preset tsan >/dev/null && cmake --build --preset tsan -j $(JOBS)
 	.ci/ctest build-tsan
 
+# A fixed number of runs with a fixed seed, about 10 s in all.
+fuzz: setup
+	cmake --preset fuzz >/dev/null && cmake --build --preset fuzz -j $(JOBS)
+	fuzz/run.sh build-fuzz
+
 clean:
 	rm -rf build build-asan build-tsan build-fuzz
 
--- /dev/null
+++ b/unittests/transport/call_dispatcher_test.cc
@@ -0,0 +1,186 @@
+/// \file
+/// Guards against calls reported as not run that may have run, retries that are
+/// lost or made up, and work for a server that leaves.
+#include "sesamespread/transport/call_dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include "call_fakes.h"
+#include "sesamespread/transport/inbound_calls.h"
+#include "test_support.h"
+
+namespace sesamespread::transport {
+namespace {
+
+using state::ResultCode;
+using state::RunState;
+
+constexpr state::NodeId kSelf = 1;
+constexpr state::NodeId kOther = 2;
+constexpr coordination::Ticket kTicket = 77;
+constexpr std::uint32_t kAllotment = 4;
+
+class CallDispatcherTest : public ::testing::Test {
+ protected:
+  CallDispatcherTest() {
+    dispatcher_.SetConfiguration(TestConfiguration());
+    state::RequestContext context;
+    context.deadline = After(std::chrono::seconds(20));
+    context.allotment = kAllotment;
+    ledger_.Open(kTicket, context, Now());
+  }
+
+  state::NodeRecord RecordOf(state::NodeId node) const {
+    state::NodeRecord record;
+    record.node = node;
+    record.incarnation = 10 + node;
+    record.name = "node-" + std::to_string(node);
+    record.zone = "zone-a";
+    record.service = "stock";
+    record.backend_state = state::BackendState::kServing;
+    record.peer = {"127.0.0.1", inbound_.port()};
+    return record;
+  }
+
+  CallDispatcher::Handle Dispatch(
+      bool repeatable,
+      std::optional<state::NodeIncarnation> target = std::nullopt) {
+    DispatchOrder order;
+    order.request.service = "stock";
+    order.request.method = "GET";
+    order.request.path = "/levels";
+    order.request.repeatable = repeatable;
+    order.deadline = After(std::chrono::seconds(10));
+    order.target = target;
+    order.ledger = &ledger_;
+    order.ticket = kTicket;
+    return dispatcher_.Dispatch(std::move(order),
+                                [this](protocol::CallAnswer answer) {
+                                  answers_.push_back(std::move(answer));
+                                });
+  }
+
+  bool WaitForCall(FakeCallExecutor& executor) {
+    return RunUntil(context_, [&] { return !executor.calls().empty(); });
+  }
+  bool WaitForAnswer() {
+    return RunUntil(context_, [this] { return !answers_.empty(); });
+  }
+
+  boost::asio::io_context context_{1};
+  DeadlineQueue deadlines_{context_};
+  Metrics metrics_;
+  FakeCallExecutor local_;
+  FakeCallExecutor remote_;
+  InboundCalls inbound_{context_,
+                        {"127.0.0.1", 0},
+                        protocol::Hello{kOther, 10 + kOther, "node-2"},
+                        remote_,
+                        [](protocol::PeerMessage, const auto&) {}};
+  OutboundCalls outbound_{context_, deadlines_,
+                          protocol::Hello{kSelf, 10 + kSelf, "node-1"},
+                          [](state::NodeId, protocol::PeerMessage) {}};
+  coordination::RequestLedger ledger_;
+  CallDispatcher dispatcher_{
+      context_, deadlines_, kSelf,    "zone-a",
+      local_,   outbound_,  metrics_, [](const auto&) {}};
+  std::vector<protocol::CallAnswer> answers_;
+};
+
+// The first attempt may have run, so that the refusal of the second does not
+// make the call one that ran nowhere.
+TEST_F(CallDispatcherTest, UnknownThenNotRunIsUnknown) {
+  dispatcher_.SetServers("stock", {RecordOf(kSelf)});
+  Dispatch(true);
+  ASSERT_TRUE(WaitForCall(local_));
+  local_.Answer(ResultCode::kTimedOut, RunState::kUnknown);
+  ASSERT_TRUE(WaitForCall(local_));
+  EXPECT_TRUE(answers_.empty());
+  local_.Answer(ResultCode::kDeadlineBeforeStart, RunState::kNotRun);
+  ASSERT_TRUE(WaitForAnswer());
+  EXPECT_EQ(answers_[0].result, ResultCode::kDeadlineBeforeStart);
+  EXPECT_EQ(answers_[0].run_state, RunState::kUnknown);
+}
+
+// A refusal before the start costs the chain no retry but the ones made here.
+TEST_F(CallDispatcherTest, NotRunRefundsTheAllotment) {
+  dispatcher_.SetServers("stock", {RecordOf(kSelf)});
+  Dispatch(false);
+  ASSERT_TRUE(WaitForCall(local_));
+  EXPECT_EQ(local_.calls().front().request.allotment, kAllotment / 2);
+  EXPECT_EQ(ledger_.Remaining(kTicket), kAllotment / 2);
+  local_.Answer(ResultCode::kShedAtServer, RunState::kNotRun);
+  ASSERT_TRUE(WaitForCall(local_));
+  // One for the retry; the rest is shared anew.
+  EXPECT_EQ(
+      ledger_.Remaining(kTicket) + local_.calls().front().request.allotment,
+      kAllotment - 1);
+  local_.Answer(ResultCode::kKeyReused, RunState::kNotRun);
+  ASSERT_TRUE(WaitForAnswer());
+  EXPECT_EQ(ledger_.Remaining(kTicket), kAllotment - 1);
+}
+
+// With the answer lost, nobody knows what the call below has spent.
+TEST_F(CallDispatcherTest, LostAnswerSpendsWhatWasHandedDown) {
+  dispatcher_.SetServers("stock", {RecordOf(kSelf)});
+  Dispatch(false);
+  ASSERT_TRUE(WaitForCall(local_));
+  local_.Answer(ResultCode::kLinkLost, RunState::kUnknown);
+  ASSERT_TRUE(WaitForAnswer());
+  EXPECT_EQ(answers_[0].run_state, RunState::kUnknown);
+  EXPECT_EQ(local_.executed(), 1U) << "may have run and can't be repeated";
+  EXPECT_EQ(ledger_.Remaining(kTicket), kAllotment / 2);
+}
+
+// The notice arrives by a link, long before gossip spreads the record.
+TEST_F(CallDispatcherTest, LeaveNoticeStopsRoutingAtOnce) {
+  dispatcher_.SetServers("stock", {RecordOf(kSelf), RecordOf(kOther)});
+  // A notice of an earlier incarnation says nothing of this one.
+  dispatcher_.OnLeaveNotice(kOther, 3);
+  for (int i = 0; i < 40 && remote_.executed() == 0; ++i) {
+    Dispatch(true);
+    ASSERT_TRUE(RunUntil(context_, [&] {
+      return !local_.calls().empty() || !remote_.calls().empty();
+    }));
+    if (!local_.calls().empty())
+      local_.Answer(ResultCode::kOk, RunState::kRan);
+  }
+  ASSERT_EQ(remote_.executed(), 1U);
+  dispatcher_.OnLeaveNotice(kOther, 10 + kOther);
+  const std::size_t before = local_.executed();
+  for (int i = 0; i < 40; ++i)
+    Dispatch(true);
+  EXPECT_EQ(local_.executed(), before + 40);
+  EXPECT_EQ(remote_.executed(), 1U);
+  // Its call in flight is not cut.
+  answers_.clear();
+  remote_.Answer(ResultCode::kOk, RunState::kRan, "done");
+  ASSERT_TRUE(WaitForAnswer());
+  EXPECT_EQ(answers_[0].body, "done");
+}
+
+// A key's executor that is gone can't tell whether an earlier request ran.
+TEST_F(CallDispatcherTest, BoundExecutorThatIsGoneIsUnknown) {
+  dispatcher_.SetServers("stock", {RecordOf(kSelf), RecordOf(kOther)});
+  Dispatch(false, state::NodeIncarnation{kOther, 5});
+  ASSERT_TRUE(WaitForAnswer());
+  EXPECT_EQ(answers_[0].result, ResultCode::kExecutorGone);
+  EXPECT_EQ(answers_[0].run_state, RunState::kUnknown);
+  // The node has died, but its record is not marked yet.
+  state::NodeRecord dead = RecordOf(kOther);
+  boost::asio::ip::tcp::acceptor closed(
+      context_, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  dead.peer.port = closed.local_endpoint().port();
+  closed.close();
+  dispatcher_.SetServers("stock", {RecordOf(kSelf), dead});
+  answers_.clear();
+  Dispatch(false, state::NodeIncarnation{kOther, 10 + kOther});
+  ASSERT_TRUE(WaitForAnswer());
+  EXPECT_EQ(answers_[0].run_state, RunState::kUnknown)
+      << static_cast<int>(answers_[0].result);
+  EXPECT_EQ(local_.executed(), 0U);
+  EXPECT_EQ(remote_.executed(), 0U);
+}
+
+}  // namespace
+}  // namespace sesamespread::transport
