Refuse orders at the first hop on fresh reports only, and let only the marginal

importance probe

Cause: found by the matrix cell queued+surge: an order was refused at a first hop while browsing ran at every prices server. A browse request passed as one of 50 probes while orders were shed, and an order was refused on a report of up to 500 ms while another first hop had a newer one. Change: only requests of the importance that opens next probe; a critical one is refused at the first hop on a report of at most 100 ms. A refusal at the first hop of an order with a key is unknown, since an earlier request with that key may have run. Load scenarios take a query in a path.

--- a/include/sesamespread/coordination/shedding.h
+++ b/include/sesamespread/coordination/shedding.h
@@ -119,6 +119,8 @@
 struct ThresholdTableOptions {
   /// Older reports are ignored.
   state::Duration max_age = std::chrono::milliseconds(500);
+  /// The same for the refusal of critical requests: an interval of a server.
+  state::Duration critical_max_age = std::chrono::milliseconds(100);
   /// One of this many requests that would be shed is let through, so that
   /// recovery is noticed.
   std::uint32_t probe_every = 50;
@@ -164,6 +166,7 @@
     std::vector<Report> reports;
     // Valid while !changed and now <= valid_until.
     std::uint32_t threshold = state::kPriorityCount;
+    state::Instant newest{};
     state::Instant valid_until{};
     bool changed = true;
     // Requests that would have been shed, modulo probe_every.
--- a/include/sesamespread/state/schema.h
+++ b/include/sesamespread/state/schema.h
@@ -41,6 +41,8 @@
   kUrl,
   /// Starts with "/"; the characters of a URL path without query.
   kPathPrefix,
+  /// The same, with a query if there is one.
+  kTarget,
 };
 
 /// One field of a YAML file.
--- a/lib/coordination/shedding.cc
+++ b/lib/coordination/shedding.cc
@@ -38,6 +38,11 @@
 // raised by then.
 constexpr std::int64_t kMostIntervals = 10;
 
+// The importance of a priority, or the one that a threshold opens next.
+std::uint32_t ImportanceOf(std::uint32_t priority) {
+  return priority / state::kPrioritiesPerImportance;
+}
+
 }  // namespace
 
 std::uint32_t AdmissionPriority(std::uint32_t priority, std::uint32_t depth) {
@@ -204,6 +209,7 @@
     }
     found = &services_[std::string(service)];
   }
+  found->newest = std::max(found->newest, now);
   std::vector<Report>& reports = found->reports;
   auto report = std::ranges::find(reports, node, &Report::node);
   if (report == reports.end()) {
@@ -243,6 +249,18 @@
   if (refusing == nullptr) {
     return false;
   }
+  // Views of first hops differ by the age of their reports. An order is refused
+  // only on one as fresh as a server's interval, so that it isn't shed here
+  // while browsing is admitted on a newer view elsewhere.
+  if (ImportanceOf(priority) == 0 &&
+      now - refusing->newest > options_.critical_max_age) {
+    return false;
+  }
+  // Only requests of the importance that opens next may probe: browsing must
+  // not pass while orders are refused.
+  if (ImportanceOf(priority) > ImportanceOf(refusing->threshold)) {
+    return true;
+  }
   refusing->shed_count =
       (refusing->shed_count + 1) % std::max(1U, options_.probe_every);
   return refusing->shed_count != 0;
--- a/lib/state/yaml_check.cc
+++ b/lib/state/yaml_check.cc
@@ -129,6 +129,15 @@
   return {};
 }
 
+std::string TargetFault(const SchemaRow& row, const std::string& text) {
+  const std::size_t query = std::min(text.find('?'), text.size());
+  if (!std::all_of(text.begin() + static_cast<std::ptrdiff_t>(query),
+                   text.end(),
+                   [](char c) { return c == '?' || IsPathCharacter(c); }))
+    return fmt::format("'{}' has characters that a query can't have", text);
+  return PathFault(row, text.substr(0, query));
+}
+
 struct TypeRules {
   // nullptr if the value is no scalar.
   std::string (*scalar_fault)(const SchemaRow&, const std::string&);
@@ -153,6 +162,7 @@
     {EndpointFault, true},   // kEndpointList
     {UrlFault, false},       // kUrl
     {PathFault, false},      // kPathPrefix
+    {TargetFault, false},    // kTarget
 };
 
 const TypeRules& RulesOf(FieldType type) {
--- a/lib/transport/request_handler.cc
+++ b/lib/transport/request_handler.cc
@@ -266,12 +266,17 @@
 
 bool RequestHandler::AdmitAtEntry(Request& request) {
   const state::Instant now = request.received;
+  // An earlier request with the same key may have run at its executor, which is
+  // not asked here.
+  const RunState not_executed = request.context.idempotency_key.empty()
+                                    ? RunState::kNotRun
+                                    : RunState::kUnknown;
   const auto retry_after = [this] {
     return coordination::JitteredRetryAfter(coordination::kEntryDrainTime,
                                             random_);
   };
   if (requests_.size() >= options_.max_requests_in_progress) {
-    Refuse(request, ResultCode::kNodeBusy, RunState::kNotRun,
+    Refuse(request, ResultCode::kNodeBusy, not_executed,
            "the node has too many requests in progress", retry_after());
     return false;
   }
@@ -280,7 +285,7 @@
       dispatcher_.thresholds().ShouldShed(
           service, configuration_->ServicesBelow(service),
           request.context.priority(), now)) {
-    Refuse(request, ResultCode::kShedAtEntry, RunState::kNotRun,
+    Refuse(request, ResultCode::kShedAtEntry, not_executed,
            "the service is overloaded", retry_after());
     return false;
   }
@@ -298,7 +303,7 @@
     return false;
   }
   if (admission.verdict == coordination::EntryTable::Verdict::kFull) {
-    Refuse(request, ResultCode::kNodeBusy, RunState::kNotRun,
+    Refuse(request, ResultCode::kNodeBusy, not_executed,
            "the table of requests is full", retry_after());
     return false;
   }
