Refuse queued browsing once the threshold closes to its importance

Change: a queued request is refused at once when its importance is no longer admitted. Conclusion: orders are refused only after browsing, queued browsing included.

--- a/include/sesamespread/coordination/admission.h
+++ b/include/sesamespread/coordination/admission.h
@@ -203,7 +203,8 @@
     // Whether a request would start in time if it were queued.
     bool (AdmissionController::*in_time)(const Entry& entry,
                                          state::Instant now) const;
-    // Whether a queued request has waited too long.
+    // Whether a queued request has waited too long, or its importance is no
+    // longer admitted.
     bool (AdmissionController::*overdue)(const Entry& entry,
                                          state::Instant now) const;
     // The queued request to start next, or null.
--- a/lib/coordination/admission.cc
+++ b/lib/coordination/admission.cc
@@ -248,6 +248,13 @@
 }
 
 bool AdmissionController::WaitedTooLong(const Entry& entry, Instant now) const {
+  // What was queued before the threshold closed to its importance would start
+  // ahead of orders that are refused now.
+  if (entry.importance != Importance::kCritical &&
+      shedding_.threshold() <= static_cast<std::uint32_t>(entry.importance) *
+                                   state::kPrioritiesPerImportance) {
+    return true;
+  }
   return now - entry.offered > (entry.importance == Importance::kCritical
                                     ? options_.max_critical_wait
                                     : options_.max_wait);
--- a/unittests/coordination/admission_test.cc
+++ b/unittests/coordination/admission_test.cc
@@ -189,6 +189,22 @@
   EXPECT_EQ(actions.refuse[0].code, ResultCode::kShedAtServer);
 }
 
+// Guards against browsing that was queued before the threshold closed to it and
+// starts while orders are refused.
+TEST_F(AdmissionTest, QueuedBrowsingIsRefusedOnceTheThresholdClosesToIt) {
+  MakeOneSlot();
+  Offer(1, Importance::kBrowse);
+  Offer(2, Importance::kBrowse);
+  Offer(3, Importance::kCritical, milliseconds(50));
+  now_ += milliseconds(60);
+  // The order's deadline has passed in the queue, which closes the threshold.
+  const AdmissionActions actions = controller_->Tick(now_);
+  ASSERT_EQ(actions.refuse.size(), 2U);
+  EXPECT_EQ(actions.refuse[0].ticket, 3U);
+  EXPECT_EQ(actions.refuse[1].ticket, 2U);
+  EXPECT_EQ(actions.refuse[1].code, ResultCode::kShedAtServer);
+}
+
 TEST_F(AdmissionTest, LeavingRefusesNewWorkAndStartsQueued) {
   MakeOneSlot();
   Offer(1, Importance::kStandard);
