--- a/unittests/transport/peer_calls_test.cc
+++ b/unittests/transport/peer_calls_test.cc
@@ -194,7 +194,7 @@
         if (held.size() < 2)
           return;
         link->Start(
-            [&, link](const protocol::PeerMessage& message) {
+            [&, raw = link.get()](const protocol::PeerMessage& message) {
               if (const auto* call =
                       std::get_if<protocol::CallRequest>(&message)) {
                 ++requests;
@@ -202,7 +202,7 @@
                 answer.call_id = call->call_id;
                 answer.request_id = call->request_id;
                 answer.body_digest = protocol::DigestOf("");
-                link->Send(answer);
+                raw->Send(answer);
               }
             },
             [](const std::string&) {});
