--- a/include/sesamespread/transport/request_handler.h
+++ b/include/sesamespread/transport/request_handler.h
@@ -4,7 +4,6 @@
 #ifndef SESAMESPREAD_TRANSPORT_REQUEST_HANDLER_H_
 #define SESAMESPREAD_TRANSPORT_REQUEST_HANDLER_H_
 
-#include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -41,8 +40,7 @@
     bool shed_at_entry = true;
   };
 
-  RequestHandler(boost::asio::io_context& context,
-                 DeadlineQueue& deadlines,
+  RequestHandler(DeadlineQueue& deadlines,
                  const Options& options,
                  CallDispatcher& dispatcher,
                  LocalExecutor& executor,
@@ -115,7 +113,6 @@
   void LogResult(const Request& request, const protocol::CallAnswer& answer);
   void Tick();
 
-  boost::asio::io_context& context_;
   DeadlineQueue& deadlines_;
   const Options options_;
   CallDispatcher& dispatcher_;
--- a/lib/transport/request_handler.cc
+++ b/lib/transport/request_handler.cc
@@ -71,16 +71,14 @@
 
 }  // namespace
 
-RequestHandler::RequestHandler(boost::asio::io_context& context,
-                               DeadlineQueue& deadlines,
+RequestHandler::RequestHandler(DeadlineQueue& deadlines,
                                const Options& options,
                                CallDispatcher& dispatcher,
                                LocalExecutor& executor,
                                Metrics& metrics,
                                EventLog& log,
                                SendClaims send_claims)
-    : context_(context),
-      deadlines_(deadlines),
+    : deadlines_(deadlines),
       options_(options),
       dispatcher_(dispatcher),
       executor_(executor),
--- a/unittests/transport/request_handler_test.cc
+++ b/unittests/transport/request_handler_test.cc
@@ -71,8 +71,7 @@
   CallDispatcher dispatcher_{
       context_, deadlines_, kSelf.node, "zone-a",
       local_,   outbound_,  metrics_,   [](const auto&) {}};
-  RequestHandler handler_{context_,
-                          deadlines_,
+  RequestHandler handler_{deadlines_,
                           RequestHandler::Options(),
                           dispatcher_,
                           executor_,
