--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 lint: build
 	@printf '%s\n' $(TIDY_SOURCES) | xargs -P $(JOBS) -n 1 clang-tidy -p build --quiet
 
-check: setup format-check lint test
+check: setup format-check lint test fuzz
 
 slopes: build
 	build/bench/slopes
--- a/fuzz/http_fields_fuzzer.cc
+++ b/fuzz/http_fields_fuzzer.cc
@@ -14,7 +14,7 @@
   // A copy of the exact size, so that reads past the end are found.
   const std::string text(reinterpret_cast<const char*>(data), size);
   std::string_view service;
-  std::string_view path;
+  std::string path;
   if (protocol::SplitTarget(text, &service, &path) &&
       (service.empty() || path.empty() || path[0] != '/'))
     __builtin_trap();
--- a/include/sesamespread/protocol/http_fields.h
+++ b/include/sesamespread/protocol/http_fields.h
@@ -46,11 +46,12 @@
 /// The baggage member that carries \p ticket.
 std::string FormatTicket(std::uint64_t ticket);
 
-/// Splits "/orders/new?x=1" into service "orders" and path "/new?x=1".
+/// Splits "/orders/new?x=1" into service "orders" and path "/new?x=1". The path
+/// always starts with "/", also that of "/orders?x=1".
 /// \returns false if there is no service.
 bool SplitTarget(std::string_view target,
                  std::string_view* service,
-                 std::string_view* path);
+                 std::string* path);
 
 /// True for fields that are bound to one connection, and for ours; these are
 /// not passed on.
--- a/include/sesamespread/transport/request_handler.h
+++ b/include/sesamespread/transport/request_handler.h
@@ -91,7 +91,7 @@
                       std::string_view path) const;
   bool CheckService(const std::shared_ptr<HttpExchange>& exchange,
                     std::string_view* service,
-                    std::string_view* path);
+                    std::string* path);
   void IssueKeys(const std::shared_ptr<HttpExchange>& exchange,
                  const std::string& target);
   bool AdmitAtEntry(Request& request);
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -435,9 +435,12 @@
   message.kind = static_cast<GossipKind>(body->kind());
   message.token = body->token();
   if (!Decode(body->from(), &message.from) ||
-      !Decode(body->target(), &message.target) ||
       !Decode(body->updates(), &message.updates))
     return std::nullopt;
+  // Other kinds have no target; one that is sent all the same is ignored.
+  if (message.kind == GossipKind::kIndirectProbe &&
+      !Decode(body->target(), &message.target))
+    return std::nullopt;
   message.configuration_version = body->configuration_version();
   message.configuration_digest = body->configuration_digest();
   if (const auto* zones = body->zones()) {
--- a/lib/protocol/http_fields.cc
+++ b/lib/protocol/http_fields.cc
@@ -85,7 +85,7 @@
 
 bool SplitTarget(std::string_view target,
                  std::string_view* service,
-                 std::string_view* path) {
+                 std::string* path) {
   if (target.size() < 2 || target.front() != '/')
     return false;
   target.remove_prefix(1);
@@ -93,7 +93,9 @@
   if (end == 0)
     return false;
   *service = target.substr(0, end);
-  *path = end == target.size() ? std::string_view("/") : target.substr(end);
+  *path = target.substr(end);
+  if (path->empty() || path->front() != '/')
+    path->insert(0, 1, '/');
   return true;
 }
 
--- a/lib/transport/request_handler.cc
+++ b/lib/transport/request_handler.cc
@@ -106,7 +106,7 @@
     return;
   }
   std::string_view service;
-  std::string_view path;
+  std::string path;
   if (!CheckService(exchange, &service, &path))
     return;
   Request request = MakeRequest(std::move(exchange), service, path);
@@ -127,7 +127,7 @@
 
 void RequestHandler::HandleSubCall(std::shared_ptr<HttpExchange> exchange) {
   std::string_view service;
-  std::string_view path;
+  std::string path;
   if (!CheckService(exchange, &service, &path))
     return;
   const std::vector<protocol::Header>& headers = exchange->request().headers;
@@ -197,7 +197,7 @@
 // Answers the exchange itself if its target names no service.
 bool RequestHandler::CheckService(const std::shared_ptr<HttpExchange>& exchange,
                                   std::string_view* service,
-                                  std::string_view* path) {
+                                  std::string* path) {
   const auto refuse = [this, &exchange](ResultCode code,
                                         std::string_view detail) {
     // Names from outside would use up the series of the inventory's services.
