--- a/lib/transport/call_dispatcher.cc
+++ b/lib/transport/call_dispatcher.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "sesamespread/transport/inbound_calls.h"
+#include "sesamespread/transport/random_seed.h"
 
 namespace sesamespread::transport {
 namespace {
@@ -69,7 +70,7 @@
       outbound_(outbound),
       metrics_(metrics),
       subscribe_(std::move(subscribe)),
-      random_(std::random_device()()),
+      random_(RandomSeed()),
       configuration_(std::make_shared<const state::Configuration>()),
       router_(self, zone) {}
 
--- a/lib/transport/control_plane.cc
+++ b/lib/transport/control_plane.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "sesamespread/transport/random_seed.h"
+
 namespace sesamespread::transport {
 namespace {
 
@@ -18,12 +20,6 @@
 // Records in one answer to a pull.
 constexpr std::size_t kRecordsPerPush = 64 << 10;
 
-std::mt19937_64 SeededRandom() {
-  std::random_device device;
-  return std::mt19937_64((static_cast<std::uint64_t>(device()) << 32) |
-                         device());
-}
-
 state::NodeRecord OwnRecord(const state::NodeSettings& settings,
                             state::Incarnation incarnation,
                             std::uint16_t peer_port,
@@ -54,7 +50,8 @@
       log_(log),
       events_(events),
       deadlines_(context),
-      replica_(coordination::ConfigurationReplicaOptions(), SeededRandom()) {
+      replica_(coordination::ConfigurationReplicaOptions(),
+               std::mt19937_64(RandomSeed())) {
   socket_ = std::make_unique<GossipSocket>(
       context, settings.listen.gossip,
       [this](const protocol::GossipMessage& message, std::size_t bytes) {
@@ -63,7 +60,8 @@
       });
   membership_ = std::make_unique<coordination::Membership>(
       OwnRecord(settings, incarnation, peer_port, socket_->port()),
-      settings.seeds, coordination::MembershipOptions(), SeededRandom(), Now());
+      settings.seeds, coordination::MembershipOptions(),
+      std::mt19937_64(RandomSeed()), Now());
   Tick();
 }
 
--- a/lib/transport/local_executor.cc
+++ b/lib/transport/local_executor.cc
@@ -7,6 +7,7 @@
 
 #include "sesamespread/protocol/codec.h"
 #include "sesamespread/protocol/http_fields.h"
+#include "sesamespread/transport/random_seed.h"
 
 namespace sesamespread::transport {
 namespace {
@@ -23,11 +24,6 @@
 // reports what it did not run.
 constexpr state::Duration kDeadlineGrace = std::chrono::milliseconds(5);
 
-std::uint64_t RandomSeed() {
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 state::WallTime WallNow() {
   return std::chrono::time_point_cast<state::Duration>(
       std::chrono::system_clock::now());
--- a/lib/transport/request_handler.cc
+++ b/lib/transport/request_handler.cc
@@ -11,6 +11,7 @@
 
 #include "sesamespread/coordination/idempotency.h"
 #include "sesamespread/protocol/http_fields.h"
+#include "sesamespread/transport/random_seed.h"
 
 namespace sesamespread::transport {
 namespace {
@@ -85,7 +86,7 @@
       metrics_(metrics),
       log_(log),
       send_claims_(std::move(send_claims)),
-      random_(std::random_device()()),
+      random_(RandomSeed()),
       configuration_(std::make_shared<const state::Configuration>()) {
   Tick();
 }
