Refuse new requests at their entry when a server deep in their chain is overloaded

Each door now asks for a threshold by the wait for its slots; answers carry it back along the calls, by route, to the entry. Waits that servers report spare the way to those that would refuse. A call of a running request is found by its id and takes the rank of its parent. A zone is left only if it is better elsewhere.

--- a/include/sesamespread/coordination/shared_retry_budget.h
+++ b/include/sesamespread/coordination/shared_retry_budget.h
@@ -33,11 +33,24 @@
   /// Repeats within one window that need no requests, so that a node with
   /// little traffic can retry at all.
   std::uint32_t free_repeats = 1;
+  /// Part of what a request's own budget allows that calls of running requests
+  /// may use. One of several calls that succeeds helps only if all others of
+  /// its request do.
+  double backend_call_share = 0.5;
   /// Largest part of what a window allows that one slice may spend, so that a
   /// burst of failures doesn't leave the rest of the window without.
   double slice_share = 0.3;
 };
 
+/// A request that is to be repeated.
+struct RepeatRequest {
+  std::string_view service;
+  /// Whether the runs of its route make no calls.
+  bool is_leaf = false;
+  /// Whether a running request of a backend server made it.
+  bool from_backend = false;
+};
+
 /// Counts requests and repeats by service.
 class SharedRetryBudget {
  public:
@@ -47,9 +60,8 @@
   /// A request for \p service was sent for the first time.
   void OnRequest(std::string_view service, state::Instant now);
 
-  /// Takes one repeat from the budget. \p leaf tells whether the request's
-  /// servers make no calls. \returns false if there is none left.
-  bool TryRepeat(std::string_view service, bool leaf, state::Instant now);
+  /// Takes one repeat from the budget. \returns false if there is none left.
+  bool TryRepeat(const RepeatRequest& request, state::Instant now);
 
   void set_ratio(double ratio) { options_.ratio = ratio; }
 
--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -100,6 +100,8 @@
   state::Duration expected_wait{0};
   /// Time at the backend server, without the wait; zero if it did not run.
   state::Duration service_time{0};
+  /// Calls that the backend server made while it ran this one.
+  std::uint32_t calls_made = 0;
 
   auto operator<=>(const CallAnswer&) const = default;
 };
--- a/include/sesamespread/transport/entry_calls.h
+++ b/include/sesamespread/transport/entry_calls.h
@@ -13,10 +13,12 @@
 #include <unordered_map>
 #include <vector>
 
+#include "sesamespread/coordination/overload.h"
 #include "sesamespread/coordination/route_table.h"
 #include "sesamespread/coordination/routing.h"
 #include "sesamespread/coordination/shared_retry_budget.h"
 #include "sesamespread/coordination/split_rotation.h"
+#include "sesamespread/coordination/wait_table.h"
 #include "sesamespread/state/node_record.h"
 #include "sesamespread/transport/call_executor.h"
 #include "sesamespread/transport/deadline_queue.h"
@@ -88,6 +90,9 @@
     const state::Route* route = nullptr;
     protocol::CallRequest call;
     std::string id;
+    // Id of the request at the local backend server that made this call; empty
+    // for a request of a caller.
+    std::string parent_id;
     state::Instant received;
     state::Instant goal;
     // When the request must be answered.
@@ -118,6 +123,11 @@
   void Admit(std::shared_ptr<HttpExchange> exchange, const state::Route& route);
   protocol::CallRequest MakeCall(const HttpRequest& request,
                                  const state::Route& route) const;
+  // Finds the request at the local backend server that made this one.
+  void FindParent(Request& request) const;
+  bool IsShed(const Request& request) const;
+  std::vector<state::NodeId> Excluded(const Request& request,
+                                      state::Instant now) const;
   void Place(Key key);
   void Send(Key key, state::NodeId node);
   state::Duration MaxWait(const Request& request, state::Instant now) const;
@@ -152,6 +162,10 @@
   std::shared_ptr<const coordination::RouteTable> routes_;
   coordination::SplitRotation splits_;
   coordination::SharedRetryBudget budget_;
+  coordination::RoutePressure pressure_;
+  coordination::WaitTable waits_;
+  // Average number of calls that a run of each route makes.
+  std::unordered_map<std::string, double> calls_per_run_;
   std::unordered_map<Key, Request> requests_;
   Key next_key_ = 1;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/sesamespread/transport/server_door.h
+++ b/include/sesamespread/transport/server_door.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "sesamespread/coordination/overload.h"
 #include "sesamespread/coordination/server_queue.h"
 #include "sesamespread/state/backend_report.h"
 #include "sesamespread/transport/call_executor.h"
@@ -74,6 +75,15 @@
   /// Whether the last connection to the backend server failed.
   bool is_unreachable() const { return unreachable_at_.has_value(); }
 
+  /// The call in progress whose request has the id \p request_id; nullptr if
+  /// there is none.
+  const protocol::CallRequest* FindRunning(std::string_view request_id) const;
+
+  /// A call that the running request \p parent_id made was answered with
+  /// \p points.
+  void OnCallAnswered(std::string_view parent_id,
+                      const std::vector<coordination::PressurePoint>& points);
+
   coordination::QueueLoad load() const { return queue_.load(); }
   std::size_t in_flight() const { return calls_.size(); }
 
@@ -86,6 +96,8 @@
     HttpClient::Handle http = 0;
     state::Instant offered;
     state::Instant started;
+    std::string id;
+    std::uint32_t calls_made = 0;
   };
 
   std::optional<state::ResultCode> CheckBackend(
@@ -101,7 +113,8 @@
   void Apply(const coordination::QueueActions& actions);
   void RefuseLater(Handle handle, state::ResultCode code);
   void Finish(Handle handle, protocol::CallAnswer answer);
-  void AddLoad(protocol::CallAnswer& answer) const;
+  void AddLoad(const Call& call, protocol::CallAnswer& answer);
+  void UpdateOverload(state::Instant now);
   void Log(LogLevel level,
            std::string_view event,
            const Call& call,
@@ -122,7 +135,12 @@
   state::Instant last_answer_;
   std::unique_ptr<HttpClient> http_;
   coordination::ServerQueue queue_;
+  coordination::OverloadThreshold overload_;
+  // What the calls of each route's runs met.
+  coordination::RoutePressure calls_pressure_;
   std::unordered_map<Handle, Call> calls_;
+  // Calls in progress by the id of their request.
+  std::unordered_map<std::string, Handle> running_;
   Handle next_handle_ = 1;
   bool tick_scheduled_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/lib/coordination/routing.cc
+++ b/lib/coordination/routing.cc
@@ -402,6 +402,13 @@
     }
     if (near.empty())
       continue;
+    // Nothing is gained by leaving the zone if it is no better elsewhere.
+    double elsewhere = 1;
+    for (const Server* server : candidates) {
+      if (server->distance > distance)
+        elsewhere = std::min(elsewhere, PressureOf(*server, median_us, now));
+    }
+    pressure -= elsewhere;
     std::uniform_real_distribution<double> draw(0, 1);
     if (pressure <= 0 || draw(rng) >= pressure)
       return near;
--- a/lib/coordination/shared_retry_budget.cc
+++ b/lib/coordination/shared_retry_budget.cc
@@ -27,19 +27,20 @@
   ++CurrentSlice(service, now).requests;
 }
 
-bool SharedRetryBudget::TryRepeat(std::string_view service,
-                                  bool leaf,
+bool SharedRetryBudget::TryRepeat(const RepeatRequest& request,
                                   state::Instant now) {
-  Slice& current = CurrentSlice(service, now);
+  Slice& current = CurrentSlice(request.service, now);
   std::uint32_t requests = 0;
   std::uint32_t repeats = 0;
-  for (const Slice& slice : services_[std::string(service)].slices) {
+  for (const Slice& slice : services_[std::string(request.service)].slices) {
     if (slice.number + kSlices <= current.number)
       continue;
     requests += slice.requests;
     repeats += slice.repeats;
   }
-  const double share = leaf ? options_.leaf_share : options_.inner_share;
+  const double share =
+      (request.is_leaf ? options_.leaf_share : options_.inner_share) *
+      (request.from_backend ? options_.backend_call_share : 1);
   const double allowed =
       options_.free_repeats + options_.ratio * share * requests;
   const double slice_bound =
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -169,7 +169,8 @@
               static_cast<std::uint8_t>(message.backend_state),
               message.configuration_version, detail, message.queued,
               static_cast<std::uint64_t>(message.expected_wait.count()),
-              static_cast<std::uint64_t>(message.service_time.count()))
+              static_cast<std::uint64_t>(message.service_time.count()),
+              message.calls_made)
               .Union()};
 }
 
@@ -316,6 +317,7 @@
   if (body.wait_us() > kMaxTimeUs || body.service_time_us() > kMaxTimeUs)
     return std::nullopt;
   message.queued = body.queued();
+  message.calls_made = body.calls_made();
   message.expected_wait =
       state::Duration(static_cast<std::int64_t>(body.wait_us()));
   message.service_time =
--- a/lib/transport/entry_calls.cc
+++ b/lib/transport/entry_calls.cc
@@ -27,7 +27,7 @@
 
 /// Share of the time to the objective that a request may wait at the first
 /// servers that are asked, while others may have room.
-constexpr double kFirstWaitShare = 0.15;
+constexpr double kFirstWaitShare = 0.35;
 
 /// The same once all have been asked. A request that would wait for longer is
 /// refused at once: the caller can come back, and the slot serves another.
@@ -55,6 +55,11 @@
 /// backend server answers by itself when the time is over.
 constexpr Duration kDeadlineGrace = std::chrono::milliseconds(30);
 
+/// Share of one answer in the average number of calls that a run makes, and the
+/// average from which on a route's runs count as making calls.
+constexpr double kCallsGain = 0.1;
+constexpr double kMakesCalls = 0.5;
+
 constexpr std::uint16_t kFirstServerError = 500;
 
 bool IsSameName(std::string_view left, std::string_view right) {
@@ -185,9 +190,47 @@
       OnAbandoned(key);
   });
   request.exchange = std::move(exchange);
+  FindParent(request);
+  if (IsShed(request)) {
+    Fail(key, {ResultCode::kShedAtEntry, RunState::kNotRun,
+               "a service behind the route is overloaded"});
+    return;
+  }
   Place(key);
 }
 
+void EntryCalls::FindParent(Request& request) const {
+  // Backend servers that derive the ids of their calls from the id of the
+  // request that makes them put a dot between the two. Ids of another form have
+  // no parent here, and their requests count as those of a caller.
+  const std::size_t dot = request.id.rfind('.');
+  if (dot == std::string::npos)
+    return;
+  const std::string parent_id = request.id.substr(0, dot);
+  const protocol::CallRequest* parent = door_.FindRunning(parent_id);
+  if (!parent)
+    return;
+  request.parent_id = parent_id;
+  request.call.from_backend = true;
+  request.call.priority = std::min(request.call.priority, parent->priority);
+}
+
+bool EntryCalls::IsShed(const Request& request) const {
+  if (request.call.from_backend)
+    return false;
+  const std::uint32_t priority = coordination::EntryPriority(
+      request.call.priority, request.call.request_id.high);
+  return priority >= pressure_.ThresholdOf(request.route->name, Now());
+}
+
+std::vector<NodeId> EntryCalls::Excluded(const Request& request,
+                                         Instant now) const {
+  std::vector<NodeId> excluded = request.tried;
+  const std::vector<NodeId> full = waits_.Above(MaxWait(request, now), now);
+  excluded.insert(excluded.end(), full.begin(), full.end());
+  return excluded;
+}
+
 void EntryCalls::Place(Key key) {
   Request& request = requests_.at(key);
   const Instant now = Now();
@@ -197,17 +240,18 @@
                RunState::kNotRun, "no server took the request in time"});
     return;
   }
-  auto choice =
-      router_.Choose(request.call.service, now, random_, request.tried);
-  if (!choice && !request.tried.empty() && !request.is_last_pass) {
+  const std::string& service = request.call.service;
+  auto choice = router_.Choose(service, now, random_, Excluded(request, now));
+  if (!choice && !request.is_last_pass) {
     request.is_last_pass = true;
     request.tried.clear();
-    choice = router_.Choose(request.call.service, now, random_, request.tried);
+    choice = router_.Choose(service, now, random_, Excluded(request, now));
   }
   if (!choice) {
-    Fail(key, {request.tried.empty() ? ResultCode::kNoBackendServer
-                                     : ResultCode::kQueueFull,
-               RunState::kNotRun, "no server has room"});
+    const bool any = router_.Choose(service, now, random_, {}).has_value();
+    Fail(key, {any ? ResultCode::kQueueFull : ResultCode::kNoBackendServer,
+               RunState::kNotRun,
+               any ? "no server has room" : "no server is known"});
     return;
   }
   Send(key, choice->node);
@@ -248,6 +292,18 @@
 void EntryCalls::Measure(const Request& request,
                          const protocol::CallAnswer& answer) {
   const Instant now = Now();
+  std::vector<coordination::PressurePoint> points;
+  for (const protocol::ServiceThreshold& threshold : answer.thresholds)
+    points.push_back({threshold.service, threshold.threshold});
+  if (request.call.from_backend)
+    door_.OnCallAnswered(request.parent_id, points);
+  else
+    pressure_.Observe(request.route->name, points, now);
+  waits_.Observe(request.node, answer.expected_wait, now);
+  if (answer.result == ResultCode::kOk) {
+    double& calls = calls_per_run_[request.route->name];
+    calls += kCallsGain * (answer.calls_made - calls);
+  }
   const bool link_failed = answer.result == ResultCode::kLinkLost ||
                            answer.result == ResultCode::kConnectFailed ||
                            answer.result == ResultCode::kTimedOut;
@@ -317,7 +373,11 @@
     return true;
   if (request.attempts >= request.route->max_attempts)
     return false;
-  if (!budget_.TryRepeat(request.call.service, false, now)) {
+  const auto calls = calls_per_run_.find(request.route->name);
+  const bool is_leaf =
+      calls != calls_per_run_.end() && calls->second < kMakesCalls;
+  if (!budget_.TryRepeat(
+          {request.call.service, is_leaf, request.call.from_backend}, now)) {
     if (log_.Admits(Duty::kData, LogLevel::kInfo, "retry_budget_spent"))
       log_.Write(Duty::kData, LogLevel::kInfo, "retry_budget_spent",
                  {{"request", request.id}, {"service", request.call.service}});
--- a/lib/transport/server_door.cc
+++ b/lib/transport/server_door.cc
@@ -182,6 +182,8 @@
   call.deadline = deadline;
   call.done = std::move(done);
   call.offered = now;
+  call.id = std::string(FieldOf(call.request.headers, fields_.request_id));
+  UpdateOverload(now);
   if (const auto refusal = CheckBackend(call.request)) {
     RefuseLater(handle, *refusal);
     return handle;
@@ -237,6 +239,7 @@
   Call& call = calls_.at(handle);
   call.is_running = true;
   call.started = Now();
+  running_[call.id] = handle;
   HttpRequest http = MakeHttpRequest(call);
   http.body = std::move(call.request.body);
   call.http = http_->Send(
@@ -252,6 +255,7 @@
   Call& call = calls_.at(handle);
   protocol::CallAnswer answer = AnswerOf(call, outcome);
   answer.service_time = Now() - call.started;
+  answer.calls_made = call.calls_made;
   const bool answered = outcome.kind == HttpOutcomeKind::kAnswered &&
                         answer.run_state == RunState::kRan;
   const auto actions =
@@ -378,7 +382,34 @@
   });
 }
 
-void ServerDoor::AddLoad(protocol::CallAnswer& answer) const {
+const protocol::CallRequest* ServerDoor::FindRunning(
+    std::string_view request_id) const {
+  const auto found = running_.find(std::string(request_id));
+  return found == running_.end() ? nullptr : &calls_.at(found->second).request;
+}
+
+void ServerDoor::OnCallAnswered(
+    std::string_view parent_id,
+    const std::vector<coordination::PressurePoint>& points) {
+  const auto found = running_.find(std::string(parent_id));
+  if (found == running_.end())
+    return;
+  Call& call = calls_.at(found->second);
+  ++call.calls_made;
+  calls_pressure_.Observe(call.request.route, points, Now());
+}
+
+void ServerDoor::UpdateOverload(Instant now) {
+  overload_.Update(queue_.load().expected_wait, queue_.ServiceTime({}), now);
+}
+
+void ServerDoor::AddLoad(const Call& call, protocol::CallAnswer& answer) {
+  const Instant now = Now();
+  UpdateOverload(now);
+  if (overload_.threshold() < state::kPriorityCount)
+    answer.thresholds.push_back({call.request.service, overload_.threshold()});
+  for (const auto& point : calls_pressure_.PointsOf(call.request.route, now))
+    answer.thresholds.push_back({point.service, point.threshold});
   const coordination::QueueLoad load = queue_.load();
   answer.in_progress = load.in_progress;
   answer.queued = load.queued;
@@ -392,7 +423,10 @@
   if (node.empty())
     return;
   const Call& call = node.mapped();
-  AddLoad(answer);
+  const auto running = running_.find(call.id);
+  if (running != running_.end() && running->second == handle)
+    running_.erase(running);
+  AddLoad(call, answer);
   metrics_.CountExecution(call.request.service, answer.result);
   const LogLevel level =
       answer.result == ResultCode::kOk ? LogLevel::kDebug : LogLevel::kInfo;
