Let calls for the highest rank overtake at a busy server

The wait was the same for browsing.

Calls start by arrival plus a part of their objective that depends on the rank of the request they serve; the entry threshold answers shorter waits.

--- a/include/sesamespread/coordination/overload.h
+++ b/include/sesamespread/coordination/overload.h
@@ -20,41 +20,37 @@
 namespace sesamespread::coordination {
 
 struct OverloadOptions {
-  /// Time between two changes of the threshold.
-  state::Duration interval = std::chrono::milliseconds(50);
-  /// Wait for a slot at which the server is neither over- nor underloaded.
-  /// Above zero, so that no slot is idle between two calls.
-  state::Duration wait_target = std::chrono::milliseconds(30);
-  /// The same in service times; the larger one counts.
-  double wait_target_services = 1.5;
-  /// Change of the threshold per second, in priorities, while the wait is twice
-  /// the target, and while nothing waits. Lower is slower to recover, higher
-  /// swings more, since an answer takes some tenths of a second to reach the
-  /// entry.
-  double fall_per_second = 160;
-  double rise_per_second = 80;
+  /// Wait for a slot up to which nothing is refused. Calls go to other servers
+  /// of the service at shorter waits, so that one busy server among idle ones
+  /// refuses nothing.
+  state::Duration tolerated_wait = std::chrono::milliseconds(40);
+  /// Wait beyond that at which all requests of the lowest rank are refused; each
+  /// further rank takes as much again. The queue grows by the overload, and an
+  /// answer takes some tenths of a second to reach the entry: a shorter range
+  /// makes the two swing against each other.
+  state::Duration wait_per_rank = std::chrono::milliseconds(120);
+  /// Share of one measurement in the average wait.
+  double gain = 0.2;
 };
 
-/// The threshold that one server asks the entries to apply.
+/// The threshold that one server asks the entries to apply. It follows the wait,
+/// which itself sums up how much more was asked for than the server could do, so
+/// that it settles where both are equal.
 class OverloadThreshold {
  public:
   explicit OverloadThreshold(OverloadOptions options = {})
       : options_(options) {}
 
-  /// Adapts the threshold to the wait of a new call. May be called at any rate.
-  void Update(state::Duration expected_wait,
-              state::Duration service_time,
-              state::Instant now);
+  /// Takes the wait that a call has met.
+  void Observe(state::Duration expected_wait);
 
   /// 0..state::kPriorityCount. Requests of lower priority values enter.
-  std::uint32_t threshold() const {
-    return static_cast<std::uint32_t>(threshold_);
-  }
+  std::uint32_t threshold() const;
 
  private:
   const OverloadOptions options_;
-  double threshold_ = state::kPriorityCount;
-  state::Instant updated_{};
+  // Average in microseconds.
+  double wait_ = 0;
 };
 
 /// A service and the threshold that its servers ask for.
--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -8,6 +8,7 @@
 #ifndef SESAMESPREAD_COORDINATION_SERVER_QUEUE_H_
 #define SESAMESPREAD_COORDINATION_SERVER_QUEUE_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <set>
@@ -30,9 +31,11 @@
   double usable_slots = 0.95;
   /// Calls that may wait; each holds its body in memory.
   std::size_t max_queued = 2048;
-  /// Part of an unimportant request's objective by which it gives way to a more
-  /// important one, for each step of priority.
-  double priority_delay = 0.25;
+  /// Calls start in the order of their arrival plus this part of the time to
+  /// their objective, by rank; ranks beyond the last have its value. A request
+  /// with many calls one after the other meets the wait at each of them, so that
+  /// the calls for the most important requests hardly wait.
+  std::array<double, 3> urgency = {0.25, 1.0, 1.25};
   /// Share of one answer in the averages of service times.
   double gain = 0.1;
   /// Service time assumed before the first answer.
@@ -49,10 +52,8 @@
   state::Instant deadline;
   /// Longest wait that the sender accepts.
   state::Duration max_wait{0};
+  /// Rank of the request, or of the one that it is a call for.
   std::uint32_t priority = 0;
-  /// A call made by a request that runs already. It doesn't give way to new
-  /// requests: refusing it wastes the work done so far.
-  bool from_backend = false;
 };
 
 enum class QueueOutcome : std::uint8_t { kStart, kQueued, kRefused };
@@ -91,9 +92,9 @@
 
 /// The queue of one backend server.
 ///
-/// Calls start in the order of their objectives, which keeps short objectives
-/// when calls of different length share the server. Those that can't meet their
-/// objective any more come last.
+/// Calls start in the order of their objectives and ranks, which keeps short
+/// objectives when calls of different length share the server. Those that can't
+/// meet their objective any more come last.
 ///
 /// Invariants: calls wait only while the limit is reached; no call starts
 /// after its deadline; each offered call is started, refused or cancelled once.
--- a/include/sesamespread/transport/server_door.h
+++ b/include/sesamespread/transport/server_door.h
@@ -114,7 +114,6 @@
   void RefuseLater(Handle handle, state::ResultCode code);
   void Finish(Handle handle, protocol::CallAnswer answer);
   void AddLoad(const Call& call, protocol::CallAnswer& answer);
-  void UpdateOverload(state::Instant now);
   void Log(LogLevel level,
            std::string_view event,
            const Call& call,
--- a/lib/coordination/overload.cc
+++ b/lib/coordination/overload.cc
@@ -9,35 +9,24 @@
 
 using state::kPriorityCount;
 
-// Waits above this many targets don't lower the threshold any faster.
-constexpr double kMaxExcess = 3;
-
 // Averages above this are no pressure any more.
 constexpr double kNoPressure = kPriorityCount - 1.0;
 
 }  // namespace
 
-void OverloadThreshold::Update(state::Duration expected_wait,
-                               state::Duration service_time,
-                               state::Instant now) {
-  if (now - updated_ < options_.interval)
-    return;
-  // After a pause the load of the whole time is unknown.
-  const double seconds =
-      std::min(std::chrono::duration<double>(now - updated_),
-               std::chrono::duration<double>(2 * options_.interval))
-          .count();
-  updated_ = now;
-  const double target =
-      std::max(static_cast<double>(options_.wait_target.count()),
-               options_.wait_target_services *
-                   static_cast<double>(service_time.count()));
-  const double excess = std::min(
-      static_cast<double>(expected_wait.count()) / target - 1, kMaxExcess);
-  const double rate =
-      excess > 0 ? options_.fall_per_second : options_.rise_per_second;
-  threshold_ = std::clamp<double>(threshold_ - excess * rate * seconds, 0,
-                                  kPriorityCount);
+void OverloadThreshold::Observe(state::Duration expected_wait) {
+  wait_ += options_.gain * (static_cast<double>(expected_wait.count()) - wait_);
+}
+
+std::uint32_t OverloadThreshold::threshold() const {
+  const double excess =
+      wait_ - static_cast<double>(options_.tolerated_wait.count());
+  const double ranks =
+      excess / static_cast<double>(options_.wait_per_rank.count());
+  const double threshold =
+      kPriorityCount - ranks * state::kPrioritiesPerImportance;
+  return static_cast<std::uint32_t>(
+      std::clamp<double>(threshold, 0, kPriorityCount));
 }
 
 void RoutePressure::Observe(const std::string& route,
--- a/lib/coordination/server_queue.cc
+++ b/lib/coordination/server_queue.cc
@@ -47,11 +47,11 @@
 }
 
 Instant ServerQueue::OrderOf(const QueuedCall& call, Instant now) const {
-  if (call.from_backend || call.goal <= now)
-    return call.goal;
-  const double objective = static_cast<double>((call.goal - now).count());
-  return call.goal +
-         FromMicros(objective * options_.priority_delay * call.priority);
+  const std::size_t rank =
+      std::min<std::size_t>(call.priority, options_.urgency.size() - 1);
+  const double to_goal =
+      static_cast<double>(std::max(call.goal - now, Duration(0)).count());
+  return now + FromMicros(to_goal * options_.urgency.at(rank));
 }
 
 Duration ServerQueue::WaitBehind(std::size_t ahead) const {
--- a/lib/transport/entry_calls.cc
+++ b/lib/transport/entry_calls.cc
@@ -27,7 +27,7 @@
 
 /// Share of the time to the objective that a request may wait at the first
 /// servers that are asked, while others may have room.
-constexpr double kFirstWaitShare = 0.35;
+constexpr double kFirstWaitShare = 0.15;
 
 /// The same once all have been asked. A request that would wait for longer is
 /// refused at once: the caller can come back, and the slot serves another.
--- a/lib/transport/server_door.cc
+++ b/lib/transport/server_door.cc
@@ -168,7 +168,6 @@
   offer.deadline = call.deadline;
   offer.max_wait = call.request.max_wait;
   offer.priority = call.request.priority;
-  offer.from_backend = call.request.from_backend;
   return offer;
 }
 
@@ -183,7 +182,6 @@
   call.done = std::move(done);
   call.offered = now;
   call.id = std::string(FieldOf(call.request.headers, fields_.request_id));
-  UpdateOverload(now);
   if (const auto refusal = CheckBackend(call.request)) {
     RefuseLater(handle, *refusal);
     return handle;
@@ -399,13 +397,9 @@
   calls_pressure_.Observe(call.request.route, points, Now());
 }
 
-void ServerDoor::UpdateOverload(Instant now) {
-  overload_.Update(queue_.load().expected_wait, queue_.ServiceTime({}), now);
-}
-
 void ServerDoor::AddLoad(const Call& call, protocol::CallAnswer& answer) {
   const Instant now = Now();
-  UpdateOverload(now);
+  overload_.Observe(queue_.load().expected_wait);
   if (overload_.threshold() < state::kPriorityCount)
     answer.thresholds.push_back({call.request.service, overload_.threshold()});
   for (const auto& point : calls_pressure_.PointsOf(call.request.route, now))
