--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Entry points: `make demo` and `make check` need nothing done first.
 PACKAGES := libcpprest-dev libflatbuffers-dev flatbuffers-compiler prometheus-cpp-dev \
   libyaml-cpp-dev libcxxopts-dev libfmt-dev libgtest-dev libbenchmark-dev libxxhash-dev \
-  libssl-dev libboost-dev libboost-system-dev librapidcheck-dev clang-14 libclang-rt-14-dev \
+  libssl-dev zlib1g-dev libboost-dev libboost-system-dev librapidcheck-dev clang-14 libclang-rt-14-dev \
   gnuplot-nox ccache ninja-build cmake g++ clang-format clang-tidy curl python3-minimal
 SOURCES = $(shell git ls-files '*.cc' '*.h' | grep -v /generated/)
 TIDY_SOURCES = $(shell git ls-files 'lib/*.cc' 'tools/*.cc')
--- a/include/sesamespread/coordination/overload.h
+++ b/include/sesamespread/coordination/overload.h
@@ -20,37 +20,50 @@
 namespace sesamespread::coordination {
 
 struct OverloadOptions {
-  /// Wait for a slot up to which nothing is refused. Calls go to other servers
-  /// of the service at shorter waits, so that one busy server among idle ones
-  /// refuses nothing.
-  state::Duration tolerated_wait = std::chrono::milliseconds(40);
-  /// Wait beyond that at which all requests of the lowest rank are refused; each
-  /// further rank takes as much again. The queue grows by the overload, and an
-  /// answer takes some tenths of a second to reach the entry: a shorter range
-  /// makes the two swing against each other.
-  state::Duration wait_per_rank = std::chrono::milliseconds(120);
+  /// Wait for a slot at which the server is neither over- nor underloaded. A
+  /// request with several calls in a row meets it at each of them. Above zero,
+  /// so that no slot is idle between two calls.
+  state::Duration wait_target = std::chrono::milliseconds(25);
+  /// Wait beyond the target for which one rank is refused at once, until the
+  /// queue is shorter. The queue grows by the overload, and an answer takes some
+  /// tenths of a second to reach the entry: a shorter range makes the two swing
+  /// against each other.
+  state::Duration wait_per_rank = std::chrono::milliseconds(200);
+  /// Time after which an excess has lowered the threshold for good by as much as
+  /// it lowers it at once. Brings the wait back to the target while an overload
+  /// lasts.
+  state::Duration integration_time = std::chrono::milliseconds(1500);
+  /// Ranks that are admitted again per second while all slots are free.
+  double ranks_per_second_idle = 1.5;
   /// Share of one measurement in the average wait.
   double gain = 0.2;
 };
 
-/// The threshold that one server asks the entries to apply. It follows the wait,
-/// which itself sums up how much more was asked for than the server could do, so
-/// that it settles where both are equal.
+/// The threshold that one server asks the entries to apply: a proportional and
+/// an integral part of the wait beyond its target.
 class OverloadThreshold {
  public:
   explicit OverloadThreshold(OverloadOptions options = {})
       : options_(options) {}
 
-  /// Takes the wait that a call has met.
-  void Observe(state::Duration expected_wait);
+  /// Takes the wait that a new call would have, and the share of the slots that
+  /// are free.
+  void Observe(state::Duration expected_wait,
+               double free_slots,
+               state::Instant now);
 
   /// 0..state::kPriorityCount. Requests of lower priority values enter.
   std::uint32_t threshold() const;
 
  private:
+  double Excess() const;
+
   const OverloadOptions options_;
   // Average in microseconds.
   double wait_ = 0;
+  // The integral part, in ranks that are refused.
+  double ranks_ = 0;
+  state::Instant observed_{};
 };
 
 /// A service and the threshold that its servers ask for.
--- a/include/sesamespread/coordination/wait_table.h
+++ b/include/sesamespread/coordination/wait_table.h
@@ -3,8 +3,7 @@
 #ifndef SESAMESPREAD_COORDINATION_WAIT_TABLE_H_
 #define SESAMESPREAD_COORDINATION_WAIT_TABLE_H_
 
-#include <optional>
-#include <span>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -14,35 +13,33 @@
 namespace sesamespread::coordination {
 
 /// Saves the way to servers that would refuse a call: in an overload of the
-/// whole service each call would otherwise ask all of them.
+/// whole service each call would otherwise ask all of them. Reports are kept by
+/// route, since calls of different routes wait for different times.
 class WaitTable {
  public:
-  /// A report counts this long. A queue drains as fast as time passes, so that
-  /// a report is worth less the older it is; this bounds its error the other
-  /// way.
+  /// A report counts this long. A queue drains as fast as time passes, so that a
+  /// report is worth less the older it is; this bounds its error the other way.
   static constexpr state::Duration kMaxAge = std::chrono::milliseconds(150);
 
   void Observe(state::NodeId node,
+               const std::string& route,
                state::Duration expected_wait,
                state::Instant now);
 
-  /// The wait that is left of the last report; nullopt if that is too old.
-  std::optional<state::Duration> WaitAt(state::NodeId node,
-                                        state::Instant now) const;
-
-  /// The nodes at which a call would wait for longer than \p max_wait.
-  std::vector<state::NodeId> Above(state::Duration max_wait,
+  /// The nodes at which a call of \p route would wait for longer than
+  /// \p max_wait.
+  std::vector<state::NodeId> Above(const std::string& route,
+                                   state::Duration max_wait,
                                    state::Instant now) const;
 
-  void Forget(state::NodeId node) { reports_.erase(node); }
-
  private:
   struct Report {
     state::Duration wait;
     state::Instant at;
   };
 
-  std::unordered_map<state::NodeId, Report> reports_;
+  std::unordered_map<std::string, std::unordered_map<state::NodeId, Report>>
+      routes_;
 };
 
 }  // namespace sesamespread::coordination
--- a/include/sesamespread/transport/entry_calls.h
+++ b/include/sesamespread/transport/entry_calls.h
@@ -72,6 +72,9 @@
       std::function<void(state::NodeId, std::uint64_t version)> observer) {
     version_observer_ = std::move(observer);
   }
+  /// Refuses callers' new requests from now on; calls of requests that run at
+  /// the local backend server are still served.
+  void RefuseCallers() { refuses_callers_ = true; }
   void SetRetryRatio(double ratio) { budget_.set_ratio(ratio); }
   void SetCaller(std::string caller) { options_.caller = std::move(caller); }
 
@@ -166,6 +169,7 @@
   coordination::WaitTable waits_;
   // Average number of calls that a run of each route makes.
   std::unordered_map<std::string, double> calls_per_run_;
+  bool refuses_callers_ = false;
   std::unordered_map<Key, Request> requests_;
   Key next_key_ = 1;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/sesamespread/transport/outbound_calls.h
+++ b/include/sesamespread/transport/outbound_calls.h
@@ -87,8 +87,9 @@
   }
 
   /// Opens a link to \p node unless there is one, or one is being opened. Links
-  /// opened so are kept although they are idle.
-  void Open(state::NodeId node, const state::Endpoint& endpoint);
+  /// opened so are kept although they are idle. \p compress saves bytes on the
+  /// way for processor time at both ends.
+  void Open(state::NodeId node, const state::Endpoint& endpoint, bool compress);
 
   /// Closes the link to \p node and forgets the node.
   void Forget(state::NodeId node);
@@ -135,6 +136,7 @@
     state::Instant last_used;
     // Not closed for being idle.
     bool is_kept = false;
+    bool is_compressed = false;
   };
 
   Session& SessionOf(state::NodeId node, const state::Endpoint& endpoint);
--- a/include/sesamespread/transport/peer_link.h
+++ b/include/sesamespread/transport/peer_link.h
@@ -13,11 +13,13 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "sesamespread/protocol/messages.h"
 #include "sesamespread/state/node_record.h"
 #include "sesamespread/state/time.h"
+#include "sesamespread/transport/frame_compression.h"
 
 namespace sesamespread::transport {
 
@@ -61,6 +63,10 @@
   /// Sends a ping now.
   void SendPing();
 
+  /// Compresses small frames from now on. The other end does the same once it
+  /// receives the first of them.
+  void Compress();
+
   /// When the last bytes arrived.
   state::Instant last_received() const { return last_received_; }
 
@@ -72,8 +78,9 @@
   // Handles the whole frames in read_buffer_.
   void OnRead();
   // \returns false if the link was closed.
-  bool OnPayload(std::span<const std::uint8_t> payload);
+  bool OnPayload(std::span<const std::uint8_t> payload, bool is_compressed);
   void WriteNext();
+  std::string CompressedFrame(std::string_view frame);
 
   boost::asio::ip::tcp::socket socket_;
   MessageHandler on_message_;
@@ -85,6 +92,9 @@
   std::size_t read_begin_ = 0;
   std::size_t read_end_ = 0;
   std::vector<std::uint8_t> payload_;
+  // Null while frames are not compressed in that direction.
+  std::unique_ptr<FrameCompressor> compressor_;
+  std::unique_ptr<FrameDecompressor> decompressor_;
   // Frames that wait; those in writing_ are with the kernel call in progress.
   std::deque<std::string> queue_;
   std::vector<std::string> writing_;
--- a/lib/coordination/overload.cc
+++ b/lib/coordination/overload.cc
@@ -9,24 +9,42 @@
 
 using state::kPriorityCount;
 
+// Between two observations further apart, the wait is not known.
+constexpr std::chrono::duration<double> kLongestStep{0.1};
+
+constexpr double kRanks =
+    static_cast<double>(kPriorityCount) / state::kPrioritiesPerImportance;
+
 // Averages above this are no pressure any more.
 constexpr double kNoPressure = kPriorityCount - 1.0;
 
 }  // namespace
 
-void OverloadThreshold::Observe(state::Duration expected_wait) {
+double OverloadThreshold::Excess() const {
+  return (wait_ - static_cast<double>(options_.wait_target.count())) /
+         static_cast<double>(options_.wait_per_rank.count());
+}
+
+void OverloadThreshold::Observe(state::Duration expected_wait,
+                                double free_slots,
+                                state::Instant now) {
+  const double seconds =
+      std::min(std::chrono::duration<double>(now - observed_), kLongestStep)
+          .count();
+  observed_ = now;
   wait_ += options_.gain * (static_cast<double>(expected_wait.count()) - wait_);
+  const double integration =
+      std::chrono::duration<double>(options_.integration_time).count();
+  const double change =
+      Excess() / integration - free_slots * options_.ranks_per_second_idle;
+  ranks_ = std::clamp(ranks_ + change * seconds, 0.0, kRanks);
 }
 
 std::uint32_t OverloadThreshold::threshold() const {
-  const double excess =
-      wait_ - static_cast<double>(options_.tolerated_wait.count());
-  const double ranks =
-      excess / static_cast<double>(options_.wait_per_rank.count());
-  const double threshold =
-      kPriorityCount - ranks * state::kPrioritiesPerImportance;
+  const double refused = ranks_ + std::max(Excess(), 0.0);
   return static_cast<std::uint32_t>(
-      std::clamp<double>(threshold, 0, kPriorityCount));
+      std::clamp(kPriorityCount - refused * state::kPrioritiesPerImportance,
+                 0.0, static_cast<double>(kPriorityCount)));
 }
 
 void RoutePressure::Observe(const std::string& route,
--- a/lib/coordination/server_queue.cc
+++ b/lib/coordination/server_queue.cc
@@ -181,6 +181,10 @@
   return refused;
 }
 
+Duration ServerQueue::WaitOf(const QueuedCall& call, Instant now) const {
+  return WaitBehind(CountAhead(OrderOf(call, now)));
+}
+
 QueueLoad ServerQueue::load() const {
   return {in_progress_, static_cast<std::uint32_t>(waiting_.size()), limit(),
           WaitBehind(waiting_.size())};
--- a/lib/coordination/wait_table.cc
+++ b/lib/coordination/wait_table.cc
@@ -2,34 +2,31 @@
 /// Reported waits.
 #include "sesamespread/coordination/wait_table.h"
 
-#include <algorithm>
-
 namespace sesamespread::coordination {
 
 void WaitTable::Observe(state::NodeId node,
+                        const std::string& route,
                         state::Duration expected_wait,
                         state::Instant now) {
-  if (expected_wait > state::Duration(0))
-    reports_[node] = {expected_wait, now};
-  else
-    reports_.erase(node);
-}
-
-std::optional<state::Duration> WaitTable::WaitAt(state::NodeId node,
-                                                 state::Instant now) const {
-  const auto found = reports_.find(node);
-  if (found == reports_.end() || now - found->second.at > kMaxAge)
-    return std::nullopt;
-  return std::max(found->second.wait - (now - found->second.at),
-                  state::Duration(0));
+  if (expected_wait > state::Duration(0)) {
+    routes_[route][node] = {expected_wait, now};
+    return;
+  }
+  const auto found = routes_.find(route);
+  if (found != routes_.end())
+    found->second.erase(node);
 }
 
-std::vector<state::NodeId> WaitTable::Above(state::Duration max_wait,
+std::vector<state::NodeId> WaitTable::Above(const std::string& route,
+                                            state::Duration max_wait,
                                             state::Instant now) const {
   std::vector<state::NodeId> nodes;
-  for (const auto& [node, report] : reports_) {
-    const auto wait = WaitAt(node, now);
-    if (wait && *wait > max_wait)
+  const auto found = routes_.find(route);
+  if (found == routes_.end())
+    return nodes;
+  for (const auto& [node, report] : found->second) {
+    const state::Duration age = now - report.at;
+    if (age <= kMaxAge && report.wait - age > max_wait)
       nodes.push_back(node);
   }
   return nodes;
--- a/lib/transport/entry_calls.cc
+++ b/lib/transport/entry_calls.cc
@@ -191,6 +191,10 @@
   });
   request.exchange = std::move(exchange);
   FindParent(request);
+  if (refuses_callers_ && !request.call.from_backend) {
+    Fail(key, {ResultCode::kLeaving, RunState::kNotRun, "this node stops"});
+    return;
+  }
   if (IsShed(request)) {
     Fail(key, {ResultCode::kShedAtEntry, RunState::kNotRun,
                "a service behind the route is overloaded"});
@@ -226,7 +230,8 @@
 std::vector<NodeId> EntryCalls::Excluded(const Request& request,
                                          Instant now) const {
   std::vector<NodeId> excluded = request.tried;
-  const std::vector<NodeId> full = waits_.Above(MaxWait(request, now), now);
+  const std::vector<NodeId> full =
+      waits_.Above(request.route->name, MaxWait(request, now), now);
   excluded.insert(excluded.end(), full.begin(), full.end());
   return excluded;
 }
@@ -299,7 +304,7 @@
     door_.OnCallAnswered(request.parent_id, points);
   else
     pressure_.Observe(request.route->name, points, now);
-  waits_.Observe(request.node, answer.expected_wait, now);
+  waits_.Observe(request.node, request.route->name, answer.expected_wait, now);
   if (answer.result == ResultCode::kOk) {
     double& calls = calls_per_run_[request.route->name];
     calls += kCallsGain * (answer.calls_made - calls);
--- a/lib/transport/node_directory.cc
+++ b/lib/transport/node_directory.cc
@@ -127,7 +127,8 @@
     const unsigned doublings = std::min(node.attempts, 3U);
     node.next_attempt =
         now + std::min(kFirstPause * (1 << doublings), kLongestPause);
-    outbound_.Open(id, node.record.peer);
+    // Bytes between zones are dearer than processor time.
+    outbound_.Open(id, node.record.peer, node.record.zone != self_.zone);
   }
   for (const state::NodeId id : gone) {
     log_.Write(Duty::kData, LogLevel::kInfo, "node_forgotten",
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -118,8 +118,12 @@
   Connect(node);
 }
 
-void OutboundCalls::Open(state::NodeId node, const state::Endpoint& endpoint) {
-  SessionOf(node, endpoint).is_kept = true;
+void OutboundCalls::Open(state::NodeId node,
+                         const state::Endpoint& endpoint,
+                         bool compress) {
+  Session& session = SessionOf(node, endpoint);
+  session.is_kept = true;
+  session.is_compressed = compress;
   Connect(node);
 }
 
@@ -195,6 +199,8 @@
         if (*alive)
           OnLinkClosed(node, raw, why);
       });
+  if (session.is_compressed)
+    link->Compress();
   link->Send(self_);
   if (greeting_) {
     for (const protocol::PeerMessage& message : greeting_())
--- a/lib/transport/peer_link.cc
+++ b/lib/transport/peer_link.cc
@@ -26,6 +26,9 @@
 // Room for many small frames in one read; larger frames get their own size.
 constexpr std::size_t kReadBytes = 16 << 10;
 
+// Set in the length of a compressed frame; lengths stay far below it.
+constexpr std::uint32_t kCompressedFlag = 1U << 31;
+
 tcp::endpoint ToAsio(const state::Endpoint& endpoint) {
   return {asio::ip::make_address(endpoint.address), endpoint.port};
 }
@@ -48,6 +51,8 @@
   if (!open_)
     return false;
   std::string frame = protocol::EncodeFrame(message);
+  if (compressor_ && frame.size() <= kMaxCompressedFrame)
+    frame = CompressedFrame(frame);
   if (queued_bytes_ + frame.size() > kMaxQueuedBytes)
     return false;
   queued_bytes_ += frame.size();
@@ -57,6 +62,22 @@
   return true;
 }
 
+std::string PeerLink::CompressedFrame(std::string_view frame) {
+  const std::string payload =
+      compressor_->Compress(frame.substr(protocol::kFrameHeaderBytes));
+  std::string compressed(protocol::kFrameHeaderBytes, '\0');
+  const std::uint32_t size =
+      static_cast<std::uint32_t>(payload.size()) | kCompressedFlag;
+  for (std::size_t i = 0; i < protocol::kFrameHeaderBytes; ++i)
+    compressed[i] = static_cast<char>(size >> (8 * i));
+  return compressed + payload;
+}
+
+void PeerLink::Compress() {
+  if (!compressor_)
+    compressor_ = std::make_unique<FrameCompressor>();
+}
+
 void PeerLink::Close(const std::string& reason) {
   if (!open_)
     return;
@@ -119,8 +140,9 @@
   while (open_ && read_end_ - read_begin_ >= protocol::kFrameHeaderBytes) {
     const std::span<const std::uint8_t> bytes(read_buffer_.data() + read_begin_,
                                               read_end_ - read_begin_);
-    const std::uint32_t size =
+    const std::uint32_t header =
         protocol::DecodeFrameLength(bytes.first(protocol::kFrameHeaderBytes));
+    const std::uint32_t size = header & ~kCompressedFlag;
     if (size == 0 || size > protocol::kMaxFrameBytes) {
       Close("frame length out of bounds");
       return;
@@ -130,7 +152,8 @@
       read_buffer_.resize(std::max(read_buffer_.size(), read_begin_ + frame));
       break;
     }
-    if (!OnPayload(bytes.subspan(protocol::kFrameHeaderBytes, size)))
+    if (!OnPayload(bytes.subspan(protocol::kFrameHeaderBytes, size),
+                   size != header))
       return;
     read_begin_ += frame;
   }
@@ -138,9 +161,22 @@
     Read();
 }
 
-bool PeerLink::OnPayload(std::span<const std::uint8_t> payload) {
-  // The decoder needs an aligned buffer.
-  payload_.assign(payload.begin(), payload.end());
+bool PeerLink::OnPayload(std::span<const std::uint8_t> payload,
+                         bool is_compressed) {
+  if (is_compressed) {
+    if (!decompressor_)
+      decompressor_ = std::make_unique<FrameDecompressor>();
+    Compress();
+    auto frame = decompressor_->Decompress(payload);
+    if (!frame) {
+      Close("frame can't be decompressed");
+      return false;
+    }
+    payload_ = std::move(*frame);
+  } else {
+    // The decoder needs an aligned buffer.
+    payload_.assign(payload.begin(), payload.end());
+  }
   auto message = protocol::DecodePayload(payload_);
   if (!message) {
     Close("frame is not a valid message");
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -68,6 +68,10 @@
 /// of a second each that they should go elsewhere.
 constexpr Duration kMinShutdownTime = milliseconds(2600);
 
+/// From SIGTERM to the refusal of callers that still come here: what starts
+/// later might not end before the process does.
+constexpr Duration kCallersRefusedAfter = milliseconds(2900);
+
 /// The process ends this long before it would be killed.
 constexpr Duration kShutdownMargin = milliseconds(300);
 
@@ -738,6 +742,8 @@
   const bool is_idle = entry_.in_flight() == 0 && door_.in_flight() == 0 &&
                        inbound_.in_flight() == 0;
   const bool must_end = elapsed >= settings_.shutdown_timeout - kShutdownMargin;
+  if (elapsed >= kCallersRefusedAfter)
+    entry_.RefuseCallers();
   if (!closed_at_ && ((is_idle && elapsed >= kMinShutdownTime) || must_end)) {
     closed_at_ = now;
     Log(LogLevel::kInfo, "ports_closed",
--- a/lib/transport/server_door.cc
+++ b/lib/transport/server_door.cc
@@ -399,16 +399,23 @@
 
 void ServerDoor::AddLoad(const Call& call, protocol::CallAnswer& answer) {
   const Instant now = Now();
-  overload_.Observe(queue_.load().expected_wait);
+  const coordination::QueueLoad load = queue_.load();
+  overload_.Observe(
+      load.expected_wait,
+      1 - static_cast<double>(std::min(load.in_progress, load.limit)) /
+              load.limit,
+      now);
   if (overload_.threshold() < state::kPriorityCount)
     answer.thresholds.push_back({call.request.service, overload_.threshold()});
   for (const auto& point : calls_pressure_.PointsOf(call.request.route, now))
     answer.thresholds.push_back({point.service, point.threshold});
-  const coordination::QueueLoad load = queue_.load();
   answer.in_progress = load.in_progress;
   answer.queued = load.queued;
   answer.limit = load.limit;
-  answer.expected_wait = load.expected_wait;
+  coordination::QueuedCall like_this;
+  like_this.goal = now + call.request.goal_remaining;
+  like_this.priority = call.request.priority;
+  answer.expected_wait = queue_.WaitOf(like_this, now);
   answer.backend_state = state();
 }
 
