Take servers' states from their own nodes only, and let a pong verify a link

Causes, found by logs with the reasons of lost links: - A link that was verified by a ping was closed after 250 ms although the pong had arrived: pongs were not passed on.

--- a/include/sesamespread/coordination/backend_registry.h
+++ b/include/sesamespread/coordination/backend_registry.h
@@ -41,10 +41,12 @@
   /// names the current one if the instance is the same.
   ReportOutcome Leave(const state::BackendRun& run, state::Instant now);
 
-  /// A health check has shown that \p instance takes work. Counts only while no
-  /// report was received, as after a start of this node.
-  ReportOutcome Confirm(const std::string& instance,
+  /// A health check has shown that \p run takes work; \p slots is 0 if it did
+  /// not say how much. Counts only while no report was received, as after a
+  /// start of this node.
+  ReportOutcome Confirm(const state::BackendRun& run,
                         const std::string& service,
+                        std::uint32_t slots,
                         state::Instant now);
 
   /// The newest run; nullopt before the first report.
--- a/include/sesamespread/coordination/row_store.h
+++ b/include/sesamespread/coordination/row_store.h
@@ -58,10 +58,11 @@
                      state::Duration wait,
                      RowsCallback done) = 0;
 
-  /// Writes a row whatever it was before.
+  /// Writes a row whatever it was before, and removes the rows \p removed.
   virtual void Write(const std::string& table,
                      const std::string& key,
                      const std::string& value,
+                     const std::vector<std::string>& removed,
                      WriteCallback done) = 0;
 };
 
--- a/include/sesamespread/transport/node_directory.h
+++ b/include/sesamespread/transport/node_directory.h
@@ -41,7 +41,8 @@
   /// without link counts.
   void OnHint(const state::NodeRecord& record);
 
-  void OnLink(state::NodeId node, bool is_open);
+  /// A link works, or has ended because of \p reason.
+  void OnLink(state::NodeId node, bool is_open, const std::string& reason);
 
   /// Opens the links that are missing. Due several times a second.
   void OpenLinks(state::Instant now);
--- a/include/sesamespread/transport/outbound_calls.h
+++ b/include/sesamespread/transport/outbound_calls.h
@@ -50,8 +50,9 @@
 
   /// Messages for the other end of a new link.
   using Greeting = std::function<std::vector<protocol::PeerMessage>()>;
-  /// Told when a link to a node starts to work, and when it has ended.
-  using LinkObserver = std::function<void(state::NodeId node, bool is_open)>;
+  /// Told when a link to a node starts to work, and when and why it has ended.
+  using LinkObserver = std::function<
+      void(state::NodeId node, bool is_open, const std::string& reason)>;
 
   OutboundCalls(boost::asio::io_context& context,
                 DeadlineQueue& deadlines,
--- /dev/null
+++ b/include/sesamespread/transport/server_load.h
@@ -0,0 +1,26 @@
+/// \file
+/// The load that a backend server reports in a header field.
+#ifndef SESAMESPREAD_TRANSPORT_SERVER_LOAD_H_
+#define SESAMESPREAD_TRANSPORT_SERVER_LOAD_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace sesamespread::transport {
+
+struct ServerLoad {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+
+  auto operator<=>(const ServerLoad&) const = default;
+};
+
+/// Parses "running,waiting,slots"; nullopt for anything else.
+std::optional<ServerLoad> ParseServerLoad(std::string_view text);
+
+}  // namespace sesamespread::transport
+
+#endif  // SESAMESPREAD_TRANSPORT_SERVER_LOAD_H_
--- a/lib/coordination/backend_registry.cc
+++ b/lib/coordination/backend_registry.cc
@@ -56,16 +56,17 @@
   return ReportOutcome::kChanged;
 }
 
-ReportOutcome BackendRegistry::Confirm(const std::string& instance,
+ReportOutcome BackendRegistry::Confirm(const state::BackendRun& run,
                                        const std::string& service,
+                                       std::uint32_t slots,
                                        state::Instant now) {
   if (current_)
     return ReportOutcome::kStale;
   state::BackendReport report;
-  report.run.instance = instance;
+  report.run = run;
   report.endpoint = endpoint_;
   report.service = service;
-  report.slots = 0;
+  report.slots = slots;
   current_ = report;
   provisional_ = true;
   reported_at_ = now;
--- a/lib/transport/entry_calls.cc
+++ b/lib/transport/entry_calls.cc
@@ -320,7 +320,9 @@
   hint.in_progress = answer.in_progress;
   hint.limit = answer.limit;
   hint.threshold = state::kPriorityCount;
-  hint.backend_state = answer.backend_state;
+  // The state in an answer may be older than the one that the node announced on
+  // another link since.
+  hint.backend_state = state::BackendState::kServing;
   router_.OnAnswered(request.node, answer.result, now - request.sent, hint,
                      now);
 }
--- a/lib/transport/inbound_calls.cc
+++ b/lib/transport/inbound_calls.cc
@@ -78,6 +78,8 @@
 }
 
 void InboundCalls::OnMessage(LinkId id, protocol::PeerMessage message) {
+  if (std::holds_alternative<protocol::Pong>(message))
+    return;
   if (auto* request = std::get_if<protocol::CallRequest>(&message)) {
     OnCall(id, std::move(*request));
     return;
--- a/lib/transport/node_directory.cc
+++ b/lib/transport/node_directory.cc
@@ -52,13 +52,19 @@
 }
 
 void NodeDirectory::OnHint(const state::NodeRecord& record) {
-  if (record.node == self_.node)
+  if (record.node == self_.node || record.peer == self_.peer)
     return;
   const auto found = nodes_.find(record.node);
   if (found != nodes_.end() &&
       (open_.count(record.node) > 0 ||
        found->second.record.incarnation >= record.incarnation))
     return;
+  // Of two nodes with one address the later one has it.
+  for (const auto& [id, node] : nodes_) {
+    if (id != record.node && node.record.peer == record.peer &&
+        (open_.count(id) > 0 || node.record.incarnation >= record.incarnation))
+      return;
+  }
   state::NodeRecord hint = record;
   // The node itself says what its backend server does once the link works.
   hint.backend_state = state::BackendState::kAbsent;
@@ -98,7 +104,9 @@
   UpdateRouter(record.service);
 }
 
-void NodeDirectory::OnLink(state::NodeId id, bool is_open) {
+void NodeDirectory::OnLink(state::NodeId id,
+                           bool is_open,
+                           const std::string& reason) {
   const auto found = nodes_.find(id);
   if (found == nodes_.end())
     return;
@@ -111,7 +119,8 @@
   log_.Write(Duty::kData, LogLevel::kInfo,
              is_open ? "node_connected" : "node_lost",
              {{"peer", node.record.name},
-              {"endpoint", state::ToString(node.record.peer)}});
+              {"endpoint", state::ToString(node.record.peer)},
+              {"reason", reason}});
   UpdateRouter(node.record.service);
 }
 
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -272,7 +272,7 @@
     session.ready = false;
     session.link = nullptr;
     if (session.proven && observer_)
-      observer_(node, false);
+      observer_(node, false, reason);
     // What was not sent gets one more link unless this one never worked.
     if (session.proven)
       Connect(node);
@@ -302,9 +302,11 @@
   if (session.link == link && !session.ready) {
     session.ready = true;
     if (!std::exchange(session.proven, true) && observer_)
-      observer_(node, true);
+      observer_(node, true, {});
     Flush(session);
   }
+  if (std::holds_alternative<protocol::Pong>(message))
+    return;
   if (auto* answer = std::get_if<protocol::CallAnswer>(&message)) {
     OnAnswer(link, std::move(*answer));
     return;
--- a/lib/transport/peer_link.cc
+++ b/lib/transport/peer_link.cc
@@ -185,7 +185,7 @@
   ping_outstanding_ = false;
   if (const auto* ping = std::get_if<protocol::Ping>(&*message))
     Send(protocol::Pong{ping->token});
-  else if (!std::holds_alternative<protocol::Pong>(*message) && on_message_)
+  else if (on_message_)
     on_message_(std::move(*message));
   return open_;
 }
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -23,6 +23,7 @@
 #include "sesamespread/transport/outbound_calls.h"
 #include "sesamespread/transport/random_seed.h"
 #include "sesamespread/transport/server_door.h"
+#include "sesamespread/transport/server_load.h"
 
 namespace sesamespread::transport {
 namespace {
@@ -189,7 +190,9 @@
   void ReadNodeTable();
   void OnNodeRows(const coordination::RowsReply& reply);
   void RetryNodeTable(Duration pause);
-  bool LearnNodes(const coordination::RowsReply& reply);
+  // \returns whether this node's own row is right.
+  bool LearnNodes(const coordination::RowsReply& reply,
+                  std::vector<std::string>* replaced);
 
   // The backend server.
   void ApplyBackend();
@@ -304,9 +307,10 @@
       document_watch_({}, seed_) {
   outbound_.SetGreeting([this] { return Greeting(); });
   inbound_.SetGreeting([this] { return Greeting(); });
-  outbound_.SetLinkObserver([this](state::NodeId node, bool is_open) {
-    directory_.OnLink(node, is_open);
-  });
+  outbound_.SetLinkObserver(
+      [this](state::NodeId node, bool is_open, const std::string& reason) {
+        directory_.OnLink(node, is_open, reason);
+      });
   entry_.SetVersionObserver([this](state::NodeId node, std::uint64_t version) {
     OnVersion(node, version);
   });
@@ -524,7 +528,8 @@
       [this](const coordination::RowsReply& reply) { OnNodeRows(reply); });
 }
 
-bool RouteNode::Impl::LearnNodes(const coordination::RowsReply& reply) {
+bool RouteNode::Impl::LearnNodes(const coordination::RowsReply& reply,
+                                 std::vector<std::string>* replaced) {
   bool has_own = false;
   const state::NodeRecord& self = directory_.self();
   for (const coordination::StoreRow& row : reply.rows) {
@@ -539,10 +544,12 @@
       continue;
     }
     for (const state::NodeRecord& record : push->records) {
-      has_own =
-          has_own || (record.node == self.node && record.peer == self.peer &&
-                      record.zone == self.zone);
-      directory_.OnHint(record);
+      if (record.node == self.node)
+        has_own = record.peer == self.peer && record.zone == self.zone;
+      else if (record.peer == self.peer)
+        replaced->push_back(row.key);
+      else
+        directory_.OnHint(record);
     }
   }
   return has_own;
@@ -555,7 +562,9 @@
     return;
   }
   table_pause_ = kFirstTablePause;
-  if (LearnNodes(reply)) {
+  // Rows of nodes that had this node's address before.
+  std::vector<std::string> replaced;
+  if (LearnNodes(reply, &replaced) && replaced.empty()) {
     RetryNodeTable(kNodeTableInterval);
     return;
   }
@@ -564,7 +573,7 @@
   const std::string frame = protocol::EncodeFrame(
       protocol::NodeRecordsPush{{directory_.self()}, 1, 1});
   store_->Write(interface_.node_table, settings_.name,
-                frame.substr(protocol::kFrameHeaderBytes),
+                frame.substr(protocol::kFrameHeaderBytes), replaced,
                 [this](coordination::StoreStatus, const std::string&) {
                   ReadNodeTable();
                 });
@@ -679,8 +688,11 @@
       FieldOf(outcome.response.headers, interface_.fields.instance));
   const auto& current = registry_.current();
   if (!current) {
-    if (registry_.Confirm(instance, settings_.service, Now()) ==
-        coordination::ReportOutcome::kChanged)
+    const auto load = ParseServerLoad(
+        FieldOf(outcome.response.headers, interface_.fields.load));
+    if (registry_.Confirm({instance, 0}, settings_.service,
+                          load ? load->slots : 0,
+                          Now()) == coordination::ReportOutcome::kChanged)
       ApplyBackend();
     return;
   }
--- a/lib/transport/server_door.cc
+++ b/lib/transport/server_door.cc
@@ -5,13 +5,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
-#include <charconv>
 #include <utility>
 
 #include "sesamespread/protocol/http_fields.h"
+#include "sesamespread/transport/server_load.h"
 
 namespace sesamespread::transport {
 namespace {
@@ -68,22 +67,6 @@
   return options;
 }
 
-// "running,waiting,slots" to running + waiting.
-std::optional<std::uint32_t> RequestsOf(std::string_view load) {
-  std::array<std::uint32_t, 2> numbers{};
-  for (std::uint32_t& number : numbers) {
-    const auto result =
-        std::from_chars(load.data(), load.data() + load.size(), number);
-    if (result.ec != std::errc())
-      return std::nullopt;
-    load.remove_prefix(static_cast<std::size_t>(result.ptr - load.data()));
-    if (load.empty() || load.front() != ',')
-      return std::nullopt;
-    load.remove_prefix(1);
-  }
-  return numbers[0] + numbers[1];
-}
-
 }  // namespace
 
 ServerDoor::ServerDoor(boost::asio::io_context& context,
@@ -305,8 +288,8 @@
 protocol::CallAnswer ServerDoor::AnswerOfResponse(const Call& call,
                                                   HttpResponse& response) {
   const auto& headers = response.headers;
-  if (const auto requests = RequestsOf(FieldOf(headers, fields_.load)))
-    queue_.OnReportedLoad(*requests);
+  if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load)))
+    queue_.OnReportedLoad(load->running + load->waiting);
   const bool misdirected = response.status == kMisdirected;
   if (misdirected || !FieldOf(headers, fields_.not_executed).empty()) {
     return FailedAnswer(
