--- a/lib/transport/entry_calls.cc
+++ b/lib/transport/entry_calls.cc
@@ -82,6 +82,15 @@
   return std::chrono::milliseconds(millis);
 }
 
+// The result as the router may take it. Whether a server takes calls is known
+// from its node's records only: an answer may arrive after a record that is
+// newer but came by another link, and its state would then stay for good.
+ResultCode WithoutState(ResultCode result) {
+  const bool is_state =
+      result == ResultCode::kLeaving || result == ResultCode::kNoBackendServer;
+  return is_state ? ResultCode::kQueueFull : result;
+}
+
 // Whether the answer says that a backend server received the call.
 bool HasReachedServer(const protocol::CallAnswer& answer) {
   return answer.run_state != RunState::kNotRun ||
@@ -320,11 +329,9 @@
   hint.in_progress = answer.in_progress;
   hint.limit = answer.limit;
   hint.threshold = state::kPriorityCount;
-  // The state in an answer may be older than the one that the node announced on
-  // another link since.
   hint.backend_state = state::BackendState::kServing;
-  router_.OnAnswered(request.node, answer.result, now - request.sent, hint,
-                     now);
+  router_.OnAnswered(request.node, WithoutState(answer.result),
+                     now - request.sent, hint, now);
 }
 
 void EntryCalls::OnAnswer(Key key, protocol::CallAnswer answer) {
