--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -35,7 +35,7 @@
   /// their objective, by rank; ranks beyond the last have its value. A request
   /// with many calls one after the other meets the wait at each of them, so that
   /// the calls for the most important requests hardly wait.
-  std::array<double, 3> urgency = {0.25, 1.0, 1.25};
+  std::array<double, 3> urgency = {0.1, 1.0, 1.25};
   /// Share of one answer in the averages of service times.
   double gain = 0.1;
   /// Service time assumed before the first answer.
--- a/lib/state/schema.cc
+++ b/lib/state/schema.cc
@@ -9,6 +9,8 @@
 #include <cassert>
 #include <numeric>
 
+#include "sesamespread/state/route_node_settings.h"
+
 namespace sesamespread::state {
 namespace {
 
@@ -162,6 +164,11 @@
   if (row.type == kDuration)
     return fmt::format(", {} to {}", DurationText(row.min),
                        DurationText(row.max));
+  if (row.type == kDecimalDuration)
+    return fmt::format(", {} to {}", DurationText(row.min),
+                       DurationText(row.max));
+  if (row.type == kShare)
+    return ", 0 to 1";
   if (row.type == kCount || row.type == kBytes)
     return fmt::format(", {} to {}", row.min, row.max);
   return {};
@@ -246,10 +253,16 @@
       "`required` and `default` of a field inside a map hold where that map is "
       "given; a map that is left out has the defaults of its fields.\n\n"
       "## Node settings\n\n{}\n"
+      "## Route node settings\n\n"
+      "Settings of `sesamespread route-node`, which serves an operator's "
+      "routes "
+      "from the platform's store. A share is a decimal number; a duration here "
+      "may have decimals and has the unit ms or s.\n\n{}\n"
       "## Inventory and rules\n\n"
       "One or more files, checked together. The order of the files and of "
       "their items does not matter.\n\n{}",
-      kDurationUnits, TableText(kNodeSettings), TableText(kInventory));
+      kDurationUnits, TableText(kNodeSettings),
+      TableText(RouteNodeSettingsSchema()), TableText(kInventory));
 }
 
 }  // namespace sesamespread::state
--- /dev/null
+++ b/unittests/coordination/server_queue_test.cc
@@ -0,0 +1,175 @@
+/// \file
+/// Guards against a backend server that is filled up, important calls that wait
+/// behind others, and calls that start too late to be of use.
+#include "sesamespread/coordination/server_queue.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <queue>
+#include <random>
+
+namespace sesamespread::coordination {
+namespace {
+
+using state::Duration;
+using state::Instant;
+using state::ResultCode;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Instant At(std::int64_t ms) {
+  return Instant(std::chrono::hours(1) + milliseconds(ms));
+}
+
+QueuedCall MakeCall(Ticket ticket, Instant now, std::uint32_t priority = 1) {
+  QueuedCall call;
+  call.ticket = ticket;
+  call.route = "read";
+  call.goal = now + milliseconds(300);
+  call.deadline = now + milliseconds(700);
+  call.max_wait = milliseconds(350);
+  call.priority = priority;
+  return call;
+}
+
+class ServerQueueTest : public ::testing::Test {
+ protected:
+  ServerQueueTest() { queue_.SetSlots(4); }
+
+  QueueOutcome Offer(const QueuedCall& call, std::int64_t ms) {
+    return queue_.Offer(call, At(ms)).outcome;
+  }
+
+  ServerQueue queue_;
+};
+
+TEST_F(ServerQueueTest, LeavesASlotFree) {
+  for (Ticket ticket = 1; ticket <= 3; ++ticket)
+    EXPECT_EQ(Offer(MakeCall(ticket, At(0)), 0), QueueOutcome::kStart);
+  EXPECT_EQ(Offer(MakeCall(4, At(0)), 0), QueueOutcome::kQueued);
+  EXPECT_EQ(queue_.load().limit, 3U);
+}
+
+TEST_F(ServerQueueTest, RequestsThatThisNodeDidNotSendTakeSlots) {
+  // After a restart of this node the server still works for the one before.
+  queue_.OnReportedLoad(4);
+  EXPECT_EQ(queue_.load().limit, 1U);
+  queue_.OnReportedLoad(1);
+  EXPECT_EQ(queue_.load().limit, 3U);
+}
+
+TEST_F(ServerQueueTest, CallsForImportantRequestsOvertake) {
+  for (Ticket ticket = 1; ticket <= 3; ++ticket)
+    Offer(MakeCall(ticket, At(0)), 0);
+  Offer(MakeCall(10, At(1), 2), 1);
+  Offer(MakeCall(11, At(2), 1), 2);
+  Offer(MakeCall(12, At(3), 0), 3);
+  std::vector<Ticket> started;
+  for (int i = 0; i < 3; ++i) {
+    for (const Ticket ticket :
+         queue_.Finish("read", milliseconds(10), true, At(10 + i)).start)
+      started.push_back(ticket);
+  }
+  EXPECT_EQ(started, (std::vector<Ticket>{12, 11, 10}));
+}
+
+TEST_F(ServerQueueTest, RefusesWhatWouldWaitForTooLong) {
+  for (Ticket ticket = 1; ticket <= 3; ++ticket)
+    Offer(MakeCall(ticket, At(0)), 0);
+  QueuedCall call = MakeCall(4, At(0));
+  call.max_wait = milliseconds(1);
+  const QueueDecision decision = queue_.Offer(call, At(0));
+  EXPECT_EQ(decision.outcome, QueueOutcome::kRefused);
+  EXPECT_EQ(decision.code, ResultCode::kQueueFull);
+  EXPECT_GT(decision.expected_wait, milliseconds(1));
+}
+
+TEST_F(ServerQueueTest, StartsNothingThatCannotEndInTime) {
+  QueuedCall call = MakeCall(1, At(0));
+  call.deadline = At(0) + milliseconds(1);
+  EXPECT_EQ(queue_.Offer(call, At(0)).code, ResultCode::kDeadlineBeforeStart);
+  for (Ticket ticket = 2; ticket <= 4; ++ticket)
+    Offer(MakeCall(ticket, At(0)), 0);
+  Offer(MakeCall(5, At(0)), 0);
+  // The host was suspended for two seconds.
+  const QueueActions actions =
+      queue_.Finish("read", milliseconds(10), true, At(2000));
+  EXPECT_TRUE(actions.start.empty());
+  ASSERT_EQ(actions.refuse.size(), 1U);
+  EXPECT_EQ(actions.refuse.front().ticket, 5U);
+}
+
+TEST_F(ServerQueueTest, ACancelledCallDoesNotStart) {
+  for (Ticket ticket = 1; ticket <= 3; ++ticket)
+    Offer(MakeCall(ticket, At(0)), 0);
+  Offer(MakeCall(4, At(0)), 0);
+  EXPECT_TRUE(queue_.Cancel(4));
+  EXPECT_FALSE(queue_.Cancel(1));
+  EXPECT_TRUE(
+      queue_.Finish("read", milliseconds(10), true, At(1)).start.empty());
+}
+
+// A server with 18 slots of 15 ms that gets 1.2 times what it can do: half of
+// the calls are for orders, which make ten of them one after the other within
+// 1000 ms; the rest for browsing.
+TEST(ServerQueueLoadTest, CallsOfOrdersHardlyWaitInAnOverload) {
+  ServerQueue queue;
+  queue.SetSlots(18);
+  std::mt19937_64 random(1);
+  std::exponential_distribution<double> gap(1.2 * 17 / 15.0);  // per ms
+  std::exponential_distribution<double> work(1 / 15.0);
+  struct Running {
+    double end;
+    Ticket ticket;
+    double started;
+    bool operator>(const Running& other) const { return end > other.end; }
+  };
+  std::priority_queue<Running, std::vector<Running>, std::greater<>> running;
+  std::map<Ticket, double> offered;
+  std::map<std::uint32_t, std::vector<double>> waits;
+  const auto at = [](double ms) {
+    return Instant(std::chrono::hours(1)) +
+           Duration(static_cast<std::int64_t>(ms * 1000));
+  };
+  const auto start = [&](Ticket ticket, double now) {
+    waits[ticket % 2 == 0 ? 0 : 1].push_back(now - offered.at(ticket));
+    running.push({now + work(random), ticket, now});
+  };
+  Ticket next = 2;
+  double arrival = 0;
+  while (arrival < 10'000) {
+    if (!running.empty() && running.top().end < arrival) {
+      const Running done = running.top();
+      running.pop();
+      const auto spent =
+          Duration(static_cast<std::int64_t>((done.end - done.started) * 1000));
+      for (const Ticket ticket :
+           queue.Finish("read", spent, true, at(done.end)).start)
+        start(ticket, done.end);
+      continue;
+    }
+    const Ticket ticket = next++;
+    offered[ticket] = arrival;
+    const std::uint32_t priority = ticket % 2 == 0 ? 0 : 1;
+    queue.Tick(at(arrival));
+    if (queue.Offer(MakeCall(ticket, at(arrival), priority), at(arrival))
+            .outcome == QueueOutcome::kStart)
+      start(ticket, arrival);
+    arrival += gap(random);
+  }
+  const auto percentile = [&waits](std::uint32_t priority, double share) {
+    std::vector<double>& values = waits[priority];
+    std::sort(values.begin(), values.end());
+    return values.at(static_cast<std::size_t>(share * (values.size() - 1)));
+  };
+  // Ten waits and 490 ms of work have to fit into 1000 ms.
+  EXPECT_LT(percentile(0, 0.5), 50);
+  EXPECT_GT(percentile(1, 0.5), percentile(0, 0.5));
+  EXPECT_GT(waits[0].size(), waits[1].size());
+}
+
+}  // namespace
+}  // namespace sesamespread::coordination
--- /dev/null
+++ b/unittests/coordination/table_watch_test.cc
@@ -0,0 +1,76 @@
+/// \file
+/// Guards against a store that is called too often, and against changes that
+/// are missed when its history or an answer is lost.
+#include "sesamespread/coordination/table_watch.h"
+
+#include <gtest/gtest.h>
+
+namespace sesamespread::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+
+state::Instant At(std::int64_t ms) {
+  return state::Instant(std::chrono::hours(1) + milliseconds(ms));
+}
+
+RowsReply Reply(std::uint64_t version, bool with_row) {
+  RowsReply reply;
+  reply.version = version;
+  if (with_row)
+    reply.rows.push_back({"config", "text", version, false});
+  return reply;
+}
+
+RowsReply Failure() {
+  RowsReply reply;
+  reply.status = StoreStatus::kNoReply;
+  return reply;
+}
+
+TEST(TableWatchTest, ReadsOnceThenWatchesFromThere) {
+  TableWatch watch({}, 1);
+  EXPECT_TRUE(watch.Next().is_read);
+  EXPECT_TRUE(watch.OnReply(Reply(7, true), At(0)));
+  const TableCall call = watch.Next();
+  EXPECT_FALSE(call.is_read);
+  EXPECT_EQ(call.after, 7U);
+  EXPECT_GT(call.wait, milliseconds(0));
+  EXPECT_LE(call.wait, TableWatchOptions{}.wait);
+}
+
+TEST(TableWatchTest, ABurstOfChangesCostsFewCalls) {
+  TableWatch watch({}, 1);
+  watch.OnReply(Reply(7, true), At(0));
+  EXPECT_EQ(watch.Next().at, At(0) + TableWatchOptions{}.min_interval);
+  watch.OnReply(Reply(7, false), At(5000));
+  EXPECT_EQ(watch.Next().at, At(5000));
+}
+
+TEST(TableWatchTest, ReadsAgainWhenTheHistoryIsLost) {
+  TableWatch watch({}, 1);
+  watch.OnReply(Reply(7, true), At(0));
+  RowsReply lost;
+  lost.is_history_lost = true;
+  watch.OnReply(lost, At(100));
+  EXPECT_TRUE(watch.Next().is_read);
+}
+
+TEST(TableWatchTest, BacksOffAndTellsOfLossAndReturn) {
+  TableWatch watch({}, 1);
+  watch.OnReply(Reply(7, true), At(0));
+  EXPECT_TRUE(watch.OnReply(Failure(), At(100)));
+  EXPECT_FALSE(watch.OnReply(Failure(), At(500)));
+  EXPECT_FALSE(watch.is_connected());
+  for (int i = 0; i < 10; ++i)
+    watch.OnReply(Failure(), At(1000 + i));
+  const TableCall call = watch.Next();
+  EXPECT_GT(call.at, At(1010));
+  EXPECT_LE(call.at, At(1009) + TableWatchOptions{}.max_backoff);
+  // What was known before counts on: changes since then are not missed.
+  EXPECT_EQ(call.after, 7U);
+  EXPECT_TRUE(watch.OnReply(Reply(9, true), At(3000)));
+}
+
+}  // namespace
+}  // namespace sesamespread::coordination
--- /dev/null
+++ b/unittests/coordination/wait_table_test.cc
@@ -0,0 +1,47 @@
+/// \file
+/// Guards against calls to servers that are known to refuse them, and against
+/// avoiding servers for an old reason.
+#include "sesamespread/coordination/wait_table.h"
+
+#include <gtest/gtest.h>
+
+namespace sesamespread::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using Nodes = std::vector<state::NodeId>;
+
+state::Instant At(std::int64_t ms) {
+  return state::Instant(std::chrono::hours(1) + milliseconds(ms));
+}
+
+TEST(WaitTableTest, NamesTheNodesWhereACallWouldWaitTooLong) {
+  WaitTable waits;
+  waits.Observe(1, "read", milliseconds(100), At(0));
+  waits.Observe(2, "read", milliseconds(20), At(0));
+  EXPECT_EQ(waits.Above("read", milliseconds(50), At(0)), Nodes{1});
+  EXPECT_TRUE(waits.Above("list", milliseconds(50), At(0)).empty());
+}
+
+TEST(WaitTableTest, AQueueDrainsWithTime) {
+  WaitTable waits;
+  waits.Observe(1, "read", milliseconds(100), At(0));
+  EXPECT_EQ(waits.Above("read", milliseconds(50), At(40)), Nodes{1});
+  EXPECT_TRUE(waits.Above("read", milliseconds(50), At(60)).empty());
+}
+
+TEST(WaitTableTest, OldReportsDoNotCount) {
+  WaitTable waits;
+  waits.Observe(1, "read", std::chrono::seconds(9), At(0));
+  EXPECT_TRUE(waits.Above("read", milliseconds(50), At(151)).empty());
+}
+
+TEST(WaitTableTest, AServerWithRoomIsNamedNoMore) {
+  WaitTable waits;
+  waits.Observe(1, "read", milliseconds(100), At(0));
+  waits.Observe(1, "read", milliseconds(0), At(1));
+  EXPECT_TRUE(waits.Above("read", milliseconds(50), At(1)).empty());
+}
+
+}  // namespace
+}  // namespace sesamespread::coordination
--- a/unittests/transport/http_client_test.cc
+++ b/unittests/transport/http_client_test.cc
@@ -363,5 +363,92 @@
   EXPECT_TRUE(RunUntil(context_, [&] { return abandoned; }));
 }
 
+class PlatformHttpClientTest : public HttpClientTest {
+ protected:
+  PlatformHttpClientTest() {
+    HttpClientOptions options;
+    options.id_field = "X-Id";
+    options.accept_close_delimited = true;
+    client_.emplace(context_, options);
+  }
+
+  std::size_t SendWithId(const std::string& id,
+                         state::Duration max_idle = state::Duration::max()) {
+    const std::size_t index = outcomes_.size();
+    outcomes_.emplace_back();
+    HttpRequest request;
+    request.headers = {{"X-Id", id}};
+    client_->Send(
+        endpoint(), request, After(kLong),
+        [this, index](HttpOutcome outcome) {
+          outcomes_[index] = std::move(outcome);
+        },
+        max_idle);
+    return index;
+  }
+};
+
+// A second answer to the request before must not be taken for the answer.
+TEST_F(PlatformHttpClientTest, DropsAnswersWithTheIdOfAnotherRequest) {
+  const std::size_t index = SendWithId("b");
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  ASSERT_TRUE(peer.Expect("\r\n\r\n"));
+  peer.Send("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 1\r\n\r\n1");
+  peer.Send("HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 1\r\n\r\n2");
+  const HttpOutcome outcome = Outcome(index);
+  EXPECT_EQ(outcome.kind, HttpOutcomeKind::kAnswered);
+  EXPECT_EQ(outcome.response.body, "2");
+  // What else comes on that connection can't be told apart.
+  EXPECT_TRUE(peer.ExpectClose());
+}
+
+TEST_F(PlatformHttpClientTest, AnAnswerWithoutLengthEndsWithItsConnection) {
+  const HttpOutcome whole = OutcomeOf("HTTP/1.1 200 OK\r\n\r\nabc");
+  EXPECT_EQ(whole.kind, HttpOutcomeKind::kAnswered);
+  EXPECT_EQ(whole.response.body, "abc");
+  EXPECT_EQ(OutcomeOf("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc").kind,
+            HttpOutcomeKind::kTruncated);
+}
+
+// One that is reset on the way may be cut short.
+TEST_F(PlatformHttpClientTest, AResetAnswerWithoutLengthIsNotWhole) {
+  const std::size_t index = SendWithId("a");
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  ASSERT_TRUE(peer.Expect("\r\n\r\n"));
+  peer.Send("HTTP/1.1 200 OK\r\n\r\nabc");
+  peer.socket().set_option(boost::asio::ip::tcp::socket::linger(true, 0));
+  peer.socket().close();
+  EXPECT_EQ(Outcome(index).kind, HttpOutcomeKind::kTruncated);
+}
+
+// A connection that the other end may be about to close is not used again.
+TEST_F(PlatformHttpClientTest, RespectsTheKeepAliveTime) {
+  const std::size_t first = SendWithId("a");
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  ASSERT_TRUE(peer.Expect("\r\n\r\n"));
+  peer.Send(
+      "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n");
+  Outcome(first);
+  SendWithId("b");
+  RawPeer other(context_);
+  EXPECT_TRUE(other.Accept(acceptor_));
+}
+
+TEST_F(PlatformHttpClientTest,
+       KeepsOldConnectionsFromRequestsThatMayNotRepeat) {
+  const std::size_t first = SendWithId("a");
+  RawPeer peer(context_);
+  ASSERT_TRUE(peer.Accept(acceptor_));
+  ASSERT_TRUE(peer.Expect("\r\n\r\n"));
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  Outcome(first);
+  SendWithId("b", state::Duration(0));
+  RawPeer other(context_);
+  EXPECT_TRUE(other.Accept(acceptor_));
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
--- a/unittests/transport/peer_calls_test.cc
+++ b/unittests/transport/peer_calls_test.cc
@@ -234,5 +234,49 @@
   EXPECT_EQ(executor_.waiting(), 0u);
 }
 
+// A link that was idle is verified before a call that may not be repeated. The
+// answer to the ping alone must keep it: closing it would fail other calls.
+TEST_F(PeerCallsTest, AVerifiedLinkIsKept) {
+  Call("/first");
+  ASSERT_TRUE(RunUntil([&] { return executor_.waiting() == 1; }));
+  executor_.Answer("/first", "1");
+  ASSERT_TRUE(RunUntil([&] { return answers_.size() == 1; }));
+  std::vector<bool> links;
+  outbound_.SetLinkObserver(
+      [&](state::NodeId, bool is_open, const std::string&) {
+        links.push_back(is_open);
+      });
+  const state::Instant idle_until =
+      Now() + kLinkFreshness + std::chrono::milliseconds(50);
+  ASSERT_TRUE(RunUntil([&] { return Now() >= idle_until; }));
+  Call("/order");
+  ASSERT_TRUE(RunUntil([&] { return executor_.waiting() == 1; }));
+  const state::Instant verified_until = Now() + 2 * kLinkReadyTimeout;
+  ASSERT_TRUE(RunUntil([&] { return Now() >= verified_until; }));
+  executor_.Answer("/order", "2");
+  ASSERT_TRUE(RunUntil([&] { return answers_.size() == 2; }));
+  EXPECT_EQ(answers_["/order"].result, ResultCode::kOk);
+  EXPECT_TRUE(links.empty());
+}
+
+// Calls and answers on a compressed link must arrive unchanged, large ones too,
+// and a greeting must come before anything else.
+TEST_F(PeerCallsTest, CompressedLinksCarryTheSame) {
+  outbound_.SetGreeting([] {
+    return std::vector<protocol::PeerMessage>{protocol::ConfigurationPull{3}};
+  });
+  outbound_.Open(kCallee, {"127.0.0.1", inbound_.port()}, true);
+  const std::string plan(100'000, 'p');
+  for (int i = 0; i < 20; ++i) {
+    const std::string path = "/" + std::to_string(i);
+    Call(path);
+    ASSERT_TRUE(RunUntil([&] { return executor_.waiting() == 1; }));
+    executor_.Answer(path, i % 5 == 0 ? plan : path);
+    ASSERT_TRUE(RunUntil([&] { return answers_.count(path) == 1; }));
+    EXPECT_EQ(answers_[path].result, ResultCode::kOk);
+    EXPECT_EQ(answers_[path].body, i % 5 == 0 ? plan : path);
+  }
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
--- /dev/null
+++ b/unittests/transport/server_load_test.cc
@@ -0,0 +1,21 @@
+/// \file
+/// Guards against misread load reports.
+#include "sesamespread/transport/server_load.h"
+
+#include <gtest/gtest.h>
+
+namespace sesamespread::transport {
+namespace {
+
+TEST(ServerLoadTest, ParsesThreeNumbers) {
+  EXPECT_EQ(ParseServerLoad("3,0,8"), (ServerLoad{3, 0, 8}));
+}
+
+TEST(ServerLoadTest, RefusesAnythingElse) {
+  for (const char* text : {"", "3", "3,0", "3,0,", "3,0,8,1", "a,0,8", "-1,0,8",
+                           "3, 0, 8", "99999999999,0,8"})
+    EXPECT_EQ(ParseServerLoad(text), std::nullopt) << text;
+}
+
+}  // namespace
+}  // namespace sesamespread::transport
