Keep a restarted node to the leave that it had confirmed

Cause: a server that deletes its entry and goes on serving passes its health checks.

A confirmed leave is written to the store and told to the other nodes, which give it back to the restarted node on their first link; without the store the health check counts after 0.6 s only.

--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -185,6 +185,16 @@
   auto operator<=>(const NodeRecordsPush&) const = default;
 };
 
+/// A run of the backend server beside \p node has left. Other nodes keep this
+/// for that node, which forgets it when it restarts.
+struct BackendLeft {
+  state::NodeId node = 0;
+  std::string instance;
+  std::uint64_t started_ms = 0;
+
+  auto operator<=>(const BackendLeft&) const = default;
+};
+
 /// Any message in a TCP frame.
 using PeerMessage = std::variant<CallRequest,
                                  CallAnswer,
@@ -197,7 +207,8 @@
                                  ConfigurationPull,
                                  ConfigurationPush,
                                  NodeRecordsPull,
-                                 NodeRecordsPush>;
+                                 NodeRecordsPush,
+                                 BackendLeft>;
 
 /// The content of datagrams is defined where it is decided on.
 using coordination::GossipKind;
--- a/include/sesamespread/transport/outbound_calls.h
+++ b/include/sesamespread/transport/outbound_calls.h
@@ -49,7 +49,8 @@
       std::function<void(state::NodeId, protocol::PeerMessage)>;
 
   /// Messages for the other end of a new link.
-  using Greeting = std::function<std::vector<protocol::PeerMessage>()>;
+  using Greeting =
+      std::function<std::vector<protocol::PeerMessage>(state::NodeId node)>;
   /// Told when a link to a node starts to work, and when and why it has ended.
   using LinkObserver = std::function<
       void(state::NodeId node, bool is_open, const std::string& reason)>;
--- a/include/sesamespread/transport/route_node.h
+++ b/include/sesamespread/transport/route_node.h
@@ -38,6 +38,8 @@
   std::string document_key;
   /// Table of the nodes' addresses.
   std::string node_table;
+  /// Table of backend servers that have left.
+  std::string left_table;
   /// Path of the readiness check.
   std::string ready_path;
   /// Path of the health check, used until the operator's document names one.
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -204,6 +204,14 @@
           wire::CreatePong(builder, message.token).Union()};
 }
 
+Body Encode(FlatBufferBuilder& builder, const BackendLeft& message) {
+  const auto instance = builder.CreateString(message.instance);
+  return {wire::PeerBody::BackendLeft,
+          wire::CreateBackendLeft(builder, message.node, instance,
+                                  message.started_ms)
+              .Union()};
+}
+
 Body Encode(FlatBufferBuilder& builder, const LeaveNotice& message) {
   return {wire::PeerBody::LeaveNotice,
           wire::CreateLeaveNotice(builder, message.node, message.incarnation,
@@ -353,6 +361,11 @@
 
 Decoded DecodeBody(const wire::PeerMessage& message) {
   switch (message.body_type()) {
+    case wire::PeerBody::BackendLeft: {
+      const auto* body = message.body_as_BackendLeft();
+      return BackendLeft{body->node(), ToString(body->instance()),
+                         body->started_ms()};
+    }
     case wire::PeerBody::CallRequest:
       return DecodeCallRequest(*message.body_as_CallRequest());
     case wire::PeerBody::CallAnswer:
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -203,7 +203,7 @@
     link->Compress();
   link->Send(self_);
   if (greeting_) {
-    for (const protocol::PeerMessage& message : greeting_())
+    for (const protocol::PeerMessage& message : greeting_(node))
       link->Send(message);
   }
   ExpectReady(node, link);
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <set>
+#include <unordered_map>
 #include <utility>
 
 #include "sesamespread/coordination/backend_registry.h"
@@ -49,6 +51,11 @@
 constexpr Duration kFirstTablePause = milliseconds(250);
 constexpr Duration kLongestTablePause = seconds(2);
 
+/// After a start without the store, longest wait for other nodes to say which
+/// backend servers have left here. They try to reach a lost node five times a
+/// second at first.
+constexpr Duration kLeftWait = milliseconds(600);
+
 /// A backend server that takes longer for a health check isn't well.
 constexpr Duration kHealthTimeout = seconds(1);
 
@@ -177,7 +184,8 @@
   // What other nodes say. `reply` goes back to the sender.
   using Reply = std::function<void(const protocol::PeerMessage&)>;
   void OnPeerMessage(const protocol::PeerMessage& message, const Reply& reply);
-  std::vector<protocol::PeerMessage> Greeting() const;
+  // For the node at the other end, if that is known, or 0.
+  std::vector<protocol::PeerMessage> Greeting(state::NodeId node) const;
   void OnVersion(state::NodeId node, std::uint64_t version);
 
   // The operator's document.
@@ -194,6 +202,15 @@
   bool LearnNodes(const coordination::RowsReply& reply,
                   std::vector<std::string>* replaced);
 
+  // Backend servers that have left. A node that restarts must not give work to
+  // a server whose leave it had confirmed; some of them pass their health
+  // checks until they end.
+  void ReadLeftTable();
+  void OnLeftRows(const coordination::RowsReply& reply);
+  void OnBackendLeft(const protocol::BackendLeft& left);
+  void RememberLeave();
+  void ConfirmBackend();
+
   // The backend server.
   void ApplyBackend();
   void AnnounceServer();
@@ -239,6 +256,15 @@
   Instant refreshed_at_{};
   Duration table_pause_ = kFirstTablePause;
 
+  // The newest run that has left, beside each other node.
+  std::unordered_map<state::NodeId, protocol::BackendLeft> left_beside_;
+  // Runs that have left beside this node, as the store and other nodes say.
+  std::set<std::string> left_here_;
+  // Set once left_here_ is as complete as it gets.
+  bool knows_left_ = false;
+  // A health check that passed before that.
+  std::optional<state::BackendReport> unconfirmed_;
+
   // Set while calls to the backend server fail and health checks are made.
   bool is_backend_down_ = false;
   bool is_health_pending_ = false;
@@ -305,8 +331,8 @@
                       HandleReady(exchange);
                     }),
       document_watch_({}, seed_) {
-  outbound_.SetGreeting([this] { return Greeting(); });
-  inbound_.SetGreeting([this] { return Greeting(); });
+  outbound_.SetGreeting([this](state::NodeId node) { return Greeting(node); });
+  inbound_.SetGreeting([this] { return Greeting(0); });
   outbound_.SetLinkObserver(
       [this](state::NodeId node, bool is_open, const std::string& reason) {
         directory_.OnLink(node, is_open, reason);
@@ -326,13 +352,14 @@
   AwaitSignal();
   CallDocumentTable();
   ReadNodeTable();
+  ReadLeftTable();
   CheckHealth();
   Tick();
   context_.run();
   Log(LogLevel::kInfo, "node_stopped", {});
 }
 
-// --- Calls from other nodes --------------------------------------------------
+// --- Calls from other nodes
 
 CallExecutor::Handle RouteNode::Impl::Execute(protocol::CallRequest request,
                                               Instant deadline,
@@ -345,7 +372,7 @@
       });
 }
 
-// --- HTTP ports --------------------------------------------------------------
+// --- HTTP ports
 
 void RouteNode::Impl::HandleReport(
     const std::shared_ptr<HttpExchange>& exchange) {
@@ -364,10 +391,12 @@
   const auto outcome =
       report ? registry_.Apply(*report, now) : registry_.Leave(run, now);
   using coordination::ReportOutcome;
-  if (outcome == ReportOutcome::kChanged)
+  if (outcome == ReportOutcome::kChanged) {
     ApplyBackend();
-  else if (outcome == ReportOutcome::kUnchanged && is_backend_down_ &&
-           registry_.takes_work())
+    if (!registry_.takes_work())
+      RememberLeave();
+  } else if (outcome == ReportOutcome::kUnchanged && is_backend_down_ &&
+             registry_.takes_work())
     MarkBackendUp("report");
   if (outcome != ReportOutcome::kUnchanged) {
     Log(LogLevel::kInfo, "report_taken",
@@ -398,15 +427,18 @@
 }
 
 // --- Other nodes
-// ---------------------------------------------------------------
 
-std::vector<protocol::PeerMessage> RouteNode::Impl::Greeting() const {
+std::vector<protocol::PeerMessage> RouteNode::Impl::Greeting(
+    state::NodeId node) const {
   std::vector<protocol::PeerMessage> messages = {
       protocol::NodeRecordsPush{{directory_.self()}, 1, 1}};
   if (!routes_) {
     messages.emplace_back(protocol::ConfigurationPull{0});
     messages.emplace_back(protocol::NodeRecordsPull{0});
   }
+  const auto left = left_beside_.find(node);
+  if (left != left_beside_.end())
+    messages.emplace_back(left->second);
   return messages;
 }
 
@@ -423,6 +455,10 @@
     }
     return;
   }
+  if (const auto* left = std::get_if<protocol::BackendLeft>(&message)) {
+    OnBackendLeft(*left);
+    return;
+  }
   if (std::holds_alternative<protocol::NodeRecordsPull>(message)) {
     const auto records = directory_.Records();
     const auto total = static_cast<std::uint32_t>(records.size());
@@ -462,7 +498,6 @@
 }
 
 // --- The operator's document
-// -----------------------------------------------------
 
 void RouteNode::Impl::CallDocumentTable() {
   const coordination::TableCall call = document_watch_.Next();
@@ -520,7 +555,6 @@
 }
 
 // --- The table of nodes
-// ------------------------------------------------------------
 
 void RouteNode::Impl::ReadNodeTable() {
   store_->Read(
@@ -583,8 +617,74 @@
   deadlines_.Schedule(Now() + pause, [this] { ReadNodeTable(); });
 }
 
+// --- Backend servers that have left
+
+void RouteNode::Impl::ReadLeftTable() {
+  store_->Read(
+      interface_.left_table,
+      [this](const coordination::RowsReply& reply) { OnLeftRows(reply); });
+  // Without the store the other nodes know it; all that are there have said so
+  // by then.
+  deadlines_.Schedule(Now() + kLeftWait, [this] {
+    knows_left_ = true;
+    ConfirmBackend();
+  });
+}
+
+void RouteNode::Impl::OnLeftRows(const coordination::RowsReply& reply) {
+  if (reply.status != coordination::StoreStatus::kDone)
+    return;
+  for (const coordination::StoreRow& row : reply.rows)
+    left_here_.insert(row.key);
+  knows_left_ = true;
+  ConfirmBackend();
+}
+
+void RouteNode::Impl::OnBackendLeft(const protocol::BackendLeft& left) {
+  if (left.node != directory_.self().node) {
+    left_beside_[left.node] = left;
+    return;
+  }
+  left_here_.insert(left.instance);
+  // A run that has reported since then is a new one under the same id.
+  const auto& current = registry_.current();
+  const bool is_same = current && current->run.instance == left.instance &&
+                       (current->run.started_ms == 0 ||
+                        current->run.started_ms == left.started_ms);
+  if (is_same && registry_.Leave(current->run, Now()) ==
+                     coordination::ReportOutcome::kChanged)
+    ApplyBackend();
+}
+
+void RouteNode::Impl::RememberLeave() {
+  const state::BackendRun& run = registry_.current()->run;
+  const protocol::BackendLeft left{directory_.self().node, run.instance,
+                                   run.started_ms};
+  inbound_.Broadcast(left);
+  outbound_.Broadcast(left);
+  store_->Write(
+      interface_.left_table, run.instance, std::to_string(run.started_ms), {},
+      [this](coordination::StoreStatus status, const std::string& detail) {
+        if (status != coordination::StoreStatus::kDone)
+          Log(LogLevel::kWarning, "leave_not_stored", {{"detail", detail}});
+      });
+}
+
+void RouteNode::Impl::ConfirmBackend() {
+  if (!knows_left_ || !unconfirmed_)
+    return;
+  const state::BackendReport seen = *std::exchange(unconfirmed_, std::nullopt);
+  if (left_here_.count(seen.run.instance) > 0) {
+    Log(LogLevel::kInfo, "left_server_ignored",
+        {{"instance", seen.run.instance}});
+    return;
+  }
+  if (registry_.Confirm(seen.run, settings_.service, seen.slots, Now()) ==
+      coordination::ReportOutcome::kChanged)
+    ApplyBackend();
+}
+
 // --- The backend server
-// --------------------------------------------------------------
 
 void RouteNode::Impl::ApplyBackend() {
   const auto& backend = registry_.current();
@@ -690,10 +790,10 @@
   if (!current) {
     const auto load = ParseServerLoad(
         FieldOf(outcome.response.headers, interface_.fields.load));
-    if (registry_.Confirm({instance, 0}, settings_.service,
-                          load ? load->slots : 0,
-                          Now()) == coordination::ReportOutcome::kChanged)
-      ApplyBackend();
+    unconfirmed_.emplace();
+    unconfirmed_->run.instance = instance;
+    unconfirmed_->slots = load ? load->slots : 0;
+    ConfirmBackend();
     return;
   }
   if (current->run.instance == instance)
@@ -701,7 +801,6 @@
 }
 
 // --- Time and signals
-// ------------------------------------------------------------------
 
 void RouteNode::Impl::Tick() {
   const Instant now = Now();
--- a/unittests/transport/peer_calls_test.cc
+++ b/unittests/transport/peer_calls_test.cc
@@ -262,7 +262,7 @@
 // Calls and answers on a compressed link must arrive unchanged, large ones too,
 // and a greeting must come before anything else.
 TEST_F(PeerCallsTest, CompressedLinksCarryTheSame) {
-  outbound_.SetGreeting([] {
+  outbound_.SetGreeting([](state::NodeId) {
     return std::vector<protocol::PeerMessage>{protocol::ConfigurationPull{3}};
   });
   outbound_.Open(kCallee, {"127.0.0.1", inbound_.port()}, true);
