Keep a leave that arrives before the server is known

Cause: a node restarted while the store was away got the server's last call before its first health check had passed, confirmed it, and forgot it: the registry knew no server.

Leaves are kept by instance and wall clock of the host, whether the run is known or not; a later start under the same id is another run.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libssl-dev zlib1g-dev libboost-dev libboost-system-dev librapidcheck-dev clang-14 libclang-rt-14-dev \
   gnuplot-nox ccache ninja-build cmake g++ clang-format clang-tidy curl python3-minimal
 SOURCES = $(shell git ls-files '*.cc' '*.h' | grep -v /generated/)
-TIDY_SOURCES = $(shell git ls-files 'lib/*.cc' 'tools/*.cc')
+TIDY_SOURCES = $(shell git ls-files 'lib/*.cc' 'tools/*.cc' 'platform/*.cc' | grep -v unittests)
 JOBS ?= $(shell nproc)
 
 .PHONY: all setup build test check check-asan check-tsan format format-check lint \
--- a/include/sesamespread/coordination/backend_registry.h
+++ b/include/sesamespread/coordination/backend_registry.h
@@ -4,8 +4,11 @@
 #ifndef SESAMESPREAD_COORDINATION_BACKEND_REGISTRY_H_
 #define SESAMESPREAD_COORDINATION_BACKEND_REGISTRY_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 
 #include "sesamespread/state/backend_report.h"
 #include "sesamespread/state/node_record.h"
@@ -38,8 +41,17 @@
   ReportOutcome Apply(const state::BackendReport& report, state::Instant now);
 
   /// The run \p run leaves without another report. A run without start time
-  /// names the current one if the instance is the same.
-  ReportOutcome Leave(const state::BackendRun& run, state::Instant now);
+  /// names the current one if the instance is the same. \p wall_ms is the wall
+  /// clock of this host. The leave counts also if the run is not known yet.
+  ReportOutcome Leave(const state::BackendRun& run,
+                      std::uint64_t wall_ms,
+                      state::Instant now);
+
+  /// All runs under the name \p instance that started before \p wall_ms have
+  /// left.
+  ReportOutcome AddLeft(const std::string& instance,
+                        std::uint64_t wall_ms,
+                        state::Instant now);
 
   /// A health check has shown that \p run takes work; \p slots is 0 if it did
   /// not say how much. Counts only while no report was received, as after a
@@ -64,10 +76,17 @@
   state::Instant reported_at() const { return reported_at_; }
 
  private:
+  // Names of instances that are remembered after they left.
+  static constexpr std::size_t kMaxLeft = 64;
+
   bool IsSameRun(const state::BackendRun& run) const;
+  bool HasLeft(const state::BackendRun& run) const;
+  ReportOutcome MarkLeaving(state::Instant now);
 
   const state::Endpoint endpoint_;
   std::optional<state::BackendReport> current_;
+  // By instance: runs that started at or before this wall clock have left.
+  std::map<std::string, std::uint64_t> left_;
   // True if current_ comes from Confirm and any report replaces it.
   bool provisional_ = false;
   state::Instant left_at_;
--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -190,7 +190,8 @@
 struct BackendLeft {
   state::NodeId node = 0;
   std::string instance;
-  std::uint64_t started_ms = 0;
+  /// Wall clock of that node's host, in milliseconds.
+  std::uint64_t left_ms = 0;
 
   auto operator<=>(const BackendLeft&) const = default;
 };
--- a/include/sesamespread/transport/entry_calls.h
+++ b/include/sesamespread/transport/entry_calls.h
@@ -134,7 +134,7 @@
   void Place(Key key);
   void Send(Key key, state::NodeId node);
   state::Duration MaxWait(const Request& request, state::Instant now) const;
-  void OnAnswer(Key key, protocol::CallAnswer answer);
+  void OnAnswer(Key key, const protocol::CallAnswer& answer);
   void Measure(const Request& request, const protocol::CallAnswer& answer);
   bool MayRepeat(Request& request, const protocol::CallAnswer& answer);
   void OnDeadline(Key key);
--- a/lib/coordination/backend_registry.cc
+++ b/lib/coordination/backend_registry.cc
@@ -2,6 +2,8 @@
 /// Order of backend servers' reports.
 #include "sesamespread/coordination/backend_registry.h"
 
+#include <algorithm>
+
 namespace sesamespread::coordination {
 
 bool BackendRegistry::IsSameRun(const state::BackendRun& run) const {
@@ -11,10 +13,17 @@
   return run.instance == current.instance && same_start;
 }
 
-ReportOutcome BackendRegistry::Apply(const state::BackendReport& report,
+bool BackendRegistry::HasLeft(const state::BackendRun& run) const {
+  const auto found = left_.find(run.instance);
+  return found != left_.end() && run.started_ms <= found->second;
+}
+
+ReportOutcome BackendRegistry::Apply(const state::BackendReport& received,
                                      state::Instant now) {
-  if (report.endpoint != endpoint_)
+  if (received.endpoint != endpoint_)
     return ReportOutcome::kForeign;
+  state::BackendReport report = received;
+  report.leaving = received.leaving || HasLeft(received.run);
   if (current_ && !provisional_) {
     const bool same = IsSameRun(report.run);
     if (!same && report.run.started_ms < current_->run.started_ms)
@@ -44,10 +53,7 @@
   return ReportOutcome::kChanged;
 }
 
-ReportOutcome BackendRegistry::Leave(const state::BackendRun& run,
-                                     state::Instant now) {
-  if (!current_ || !IsSameRun(run))
-    return ReportOutcome::kStale;
+ReportOutcome BackendRegistry::MarkLeaving(state::Instant now) {
   reported_at_ = now;
   if (current_->leaving)
     return ReportOutcome::kUnchanged;
@@ -56,11 +62,33 @@
   return ReportOutcome::kChanged;
 }
 
+ReportOutcome BackendRegistry::Leave(const state::BackendRun& run,
+                                     std::uint64_t wall_ms,
+                                     state::Instant now) {
+  if (run.started_ms == 0)
+    return AddLeft(run.instance, wall_ms, now);
+  if (current_ && IsSameRun(run))
+    return MarkLeaving(now);
+  return ReportOutcome::kStale;
+}
+
+ReportOutcome BackendRegistry::AddLeft(const std::string& instance,
+                                       std::uint64_t wall_ms,
+                                       state::Instant now) {
+  if (left_.size() >= kMaxLeft && left_.count(instance) == 0)
+    left_.erase(left_.begin());
+  std::uint64_t& left_ms = left_[instance];
+  left_ms = std::max(left_ms, wall_ms);
+  if (current_ && HasLeft(current_->run))
+    return MarkLeaving(now);
+  return ReportOutcome::kStale;
+}
+
 ReportOutcome BackendRegistry::Confirm(const state::BackendRun& run,
                                        const std::string& service,
                                        std::uint32_t slots,
                                        state::Instant now) {
-  if (current_)
+  if (current_ || HasLeft(run))
     return ReportOutcome::kStale;
   state::BackendReport report;
   report.run = run;
--- a/lib/coordination/shared_retry_budget.cc
+++ b/lib/coordination/shared_retry_budget.cc
@@ -7,8 +7,8 @@
 namespace sesamespread::coordination {
 
 std::uint64_t SharedRetryBudget::SliceNumber(state::Instant now) const {
-  const auto length =
-      std::max<std::int64_t>(options_.window.count() / kSlices, 1);
+  const auto length = std::max<std::int64_t>(
+      options_.window.count() / static_cast<std::int64_t>(kSlices), 1);
   return static_cast<std::uint64_t>(now.time_since_epoch().count() / length);
 }
 
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -206,10 +206,10 @@
 
 Body Encode(FlatBufferBuilder& builder, const BackendLeft& message) {
   const auto instance = builder.CreateString(message.instance);
-  return {wire::PeerBody::BackendLeft,
-          wire::CreateBackendLeft(builder, message.node, instance,
-                                  message.started_ms)
-              .Union()};
+  return {
+      wire::PeerBody::BackendLeft,
+      wire::CreateBackendLeft(builder, message.node, instance, message.left_ms)
+          .Union()};
 }
 
 Body Encode(FlatBufferBuilder& builder, const LeaveNotice& message) {
@@ -364,7 +364,7 @@
     case wire::PeerBody::BackendLeft: {
       const auto* body = message.body_as_BackendLeft();
       return BackendLeft{body->node(), ToString(body->instance()),
-                         body->started_ms()};
+                         body->left_ms()};
     }
     case wire::PeerBody::CallRequest:
       return DecodeCallRequest(*message.body_as_CallRequest());
--- a/lib/transport/entry_calls.cc
+++ b/lib/transport/entry_calls.cc
@@ -291,9 +291,10 @@
   call.remaining = request.deadline - now;
   call.goal_remaining = std::max(request.goal - now, Duration(0));
   call.max_wait = MaxWait(request, now);
-  const auto done = [this, key, alive = alive_](protocol::CallAnswer answer) {
+  const auto done = [this, key,
+                     alive = alive_](const protocol::CallAnswer& answer) {
     if (*alive)
-      OnAnswer(key, std::move(answer));
+      OnAnswer(key, answer);
   };
   request.handle =
       node == options_.self
@@ -334,7 +335,7 @@
                      now - request.sent, hint, now);
 }
 
-void EntryCalls::OnAnswer(Key key, protocol::CallAnswer answer) {
+void EntryCalls::OnAnswer(Key key, const protocol::CallAnswer& answer) {
   const auto found = requests_.find(key);
   if (found == requests_.end())
     return;
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
+#include <charconv>
 #include <csignal>
-#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -109,14 +109,26 @@
   return options;
 }
 
+std::uint64_t WallMillis() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+// The time in a row of the left table; 0 for another writer's value, so that it
+// names no run.
+std::uint64_t LeftMillisOf(const std::string& value) {
+  std::uint64_t millis = 0;
+  const auto result =
+      std::from_chars(value.data(), value.data() + value.size(), millis);
+  return result.ec == std::errc() ? millis : 0;
+}
+
 // Later runs of a node have a higher incarnation, whatever their random part.
 state::Incarnation MakeIncarnation(std::uint64_t random) {
   constexpr int kRandomBits = 20;
-  const auto millis = std::chrono::duration_cast<milliseconds>(
-                          std::chrono::system_clock::now().time_since_epoch())
-                          .count();
-  return (static_cast<std::uint64_t>(millis) << kRandomBits) |
-         (random >> (64 - kRandomBits));
+  return (WallMillis() << kRandomBits) | (random >> (64 - kRandomBits));
 }
 
 state::NodeRecord MakeSelf(const state::RouteNodeSettings& settings,
@@ -208,7 +220,8 @@
   void ReadLeftTable();
   void OnLeftRows(const coordination::RowsReply& reply);
   void OnBackendLeft(const protocol::BackendLeft& left);
-  void RememberLeave();
+  void TakeLeave(const std::string& instance, std::uint64_t left_ms);
+  void RememberLeave(const std::string& instance);
   void ConfirmBackend();
 
   // The backend server.
@@ -258,9 +271,7 @@
 
   // The newest run that has left, beside each other node.
   std::unordered_map<state::NodeId, protocol::BackendLeft> left_beside_;
-  // Runs that have left beside this node, as the store and other nodes say.
-  std::set<std::string> left_here_;
-  // Set once left_here_ is as complete as it gets.
+  // Set once the store or the other nodes have said which runs have left here.
   bool knows_left_ = false;
   // A health check that passed before that.
   std::optional<state::BackendReport> unconfirmed_;
@@ -283,15 +294,16 @@
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       router_(state::NodeIdOf(settings.name), settings.availability_zone),
       door_(context_, deadlines_, interface_.fields, metrics_, log_),
-      outbound_(context_,
-                deadlines_,
-                MakeHello(MakeSelf(settings, seed_)),
-                [this](state::NodeId node, protocol::PeerMessage message) {
-                  OnPeerMessage(message, [this, node](
-                                             const protocol::PeerMessage& m) {
-                    outbound_.SendControl(node, directory_.EndpointOf(node), m);
-                  });
-                }),
+      outbound_(
+          context_,
+          deadlines_,
+          MakeHello(MakeSelf(settings, seed_)),
+          [this](state::NodeId node, const protocol::PeerMessage& message) {
+            OnPeerMessage(
+                message, [this, node](const protocol::PeerMessage& m) {
+                  outbound_.SendControl(node, directory_.EndpointOf(node), m);
+                });
+          }),
       directory_(MakeSelf(settings, seed_), outbound_, router_, log_),
       entry_(
           deadlines_,
@@ -309,9 +321,8 @@
                settings.listen.peer,
                MakeHello(directory_.self()),
                *this,
-               [this](protocol::PeerMessage message, const Reply& reply) {
-                 OnPeerMessage(message, reply);
-               }),
+               [this](const protocol::PeerMessage& message,
+                      const Reply& reply) { OnPeerMessage(message, reply); }),
       entry_server_(context_,
                     settings.listen.entry,
                     CallerServerOptions(settings.max_connections),
@@ -388,16 +399,19 @@
   const auto* report = std::get_if<state::BackendReport>(&*call);
   const state::BackendRun& run =
       report ? report->run : std::get<BackendLeave>(*call).run;
-  const auto outcome =
-      report ? registry_.Apply(*report, now) : registry_.Leave(run, now);
+  const auto outcome = report ? registry_.Apply(*report, now)
+                              : registry_.Leave(run, WallMillis(), now);
   using coordination::ReportOutcome;
   if (outcome == ReportOutcome::kChanged) {
     ApplyBackend();
     if (!registry_.takes_work())
-      RememberLeave();
+      RememberLeave(registry_.current()->run.instance);
   } else if (outcome == ReportOutcome::kUnchanged && is_backend_down_ &&
              registry_.takes_work())
     MarkBackendUp("report");
+  // A leave that came before the server was known has to be kept as well.
+  if (!report && outcome == ReportOutcome::kStale)
+    RememberLeave(run.instance);
   if (outcome != ReportOutcome::kUnchanged) {
     Log(LogLevel::kInfo, "report_taken",
         {{"instance", run.instance},
@@ -635,35 +649,33 @@
   if (reply.status != coordination::StoreStatus::kDone)
     return;
   for (const coordination::StoreRow& row : reply.rows)
-    left_here_.insert(row.key);
+    TakeLeave(row.key, LeftMillisOf(row.value));
   knows_left_ = true;
   ConfirmBackend();
 }
 
+void RouteNode::Impl::TakeLeave(const std::string& instance,
+                                std::uint64_t left_ms) {
+  if (registry_.AddLeft(instance, left_ms, Now()) ==
+      coordination::ReportOutcome::kChanged)
+    ApplyBackend();
+}
+
 void RouteNode::Impl::OnBackendLeft(const protocol::BackendLeft& left) {
-  if (left.node != directory_.self().node) {
+  if (left.node == directory_.self().node)
+    TakeLeave(left.instance, left.left_ms);
+  else
     left_beside_[left.node] = left;
-    return;
-  }
-  left_here_.insert(left.instance);
-  // A run that has reported since then is a new one under the same id.
-  const auto& current = registry_.current();
-  const bool is_same = current && current->run.instance == left.instance &&
-                       (current->run.started_ms == 0 ||
-                        current->run.started_ms == left.started_ms);
-  if (is_same && registry_.Leave(current->run, Now()) ==
-                     coordination::ReportOutcome::kChanged)
-    ApplyBackend();
 }
 
-void RouteNode::Impl::RememberLeave() {
-  const state::BackendRun& run = registry_.current()->run;
-  const protocol::BackendLeft left{directory_.self().node, run.instance,
-                                   run.started_ms};
+void RouteNode::Impl::RememberLeave(const std::string& instance) {
+  const std::uint64_t left_ms = WallMillis();
+  registry_.AddLeft(instance, left_ms, Now());
+  const protocol::BackendLeft left{directory_.self().node, instance, left_ms};
   inbound_.Broadcast(left);
   outbound_.Broadcast(left);
   store_->Write(
-      interface_.left_table, run.instance, std::to_string(run.started_ms), {},
+      interface_.left_table, instance, std::to_string(left_ms), {},
       [this](coordination::StoreStatus status, const std::string& detail) {
         if (status != coordination::StoreStatus::kDone)
           Log(LogLevel::kWarning, "leave_not_stored", {{"detail", detail}});
@@ -674,11 +686,6 @@
   if (!knows_left_ || !unconfirmed_)
     return;
   const state::BackendReport seen = *std::exchange(unconfirmed_, std::nullopt);
-  if (left_here_.count(seen.run.instance) > 0) {
-    Log(LogLevel::kInfo, "left_server_ignored",
-        {{"instance", seen.run.instance}});
-    return;
-  }
   if (registry_.Confirm(seen.run, settings_.service, seen.slots, Now()) ==
       coordination::ReportOutcome::kChanged)
     ApplyBackend();
--- a/unittests/coordination/backend_registry_test.cc
+++ b/unittests/coordination/backend_registry_test.cc
@@ -70,14 +70,28 @@
 
 TEST_F(BackendRegistryTest, ALeaveOfAnEarlierRunDoesNotStopTheNewOne) {
   Apply(MakeReport("i-1", 200, 1));
-  EXPECT_EQ(registry_.Leave({"i-1", 100}, At(9)), ReportOutcome::kStale);
-  EXPECT_EQ(registry_.Leave({"i-0", 0}, At(9)), ReportOutcome::kStale);
+  EXPECT_EQ(registry_.Leave({"i-1", 100}, 900, At(9)), ReportOutcome::kStale);
+  EXPECT_EQ(registry_.Leave({"i-0", 0}, 900, At(9)), ReportOutcome::kStale);
   EXPECT_TRUE(registry_.takes_work());
-  EXPECT_EQ(registry_.Leave({"i-1", 200}, At(9)), ReportOutcome::kChanged);
-  EXPECT_EQ(registry_.Leave({"i-1", 200}, At(10)), ReportOutcome::kUnchanged);
+  EXPECT_EQ(registry_.Leave({"i-1", 200}, 900, At(9)), ReportOutcome::kChanged);
+  EXPECT_EQ(registry_.Leave({"i-1", 200}, 900, At(10)),
+            ReportOutcome::kUnchanged);
   EXPECT_FALSE(registry_.takes_work());
 }
 
+// The node was restarted just before the leave: it knows no server yet, but has
+// confirmed the leave, and late reports and health checks must not undo that.
+TEST_F(BackendRegistryTest, ALeaveCountsBeforeTheServerIsKnown) {
+  registry_.Leave({"i-1", 0}, 5000, At(1));
+  EXPECT_EQ(registry_.Confirm({"i-1", 0}, "orders", 8, At(2)),
+            ReportOutcome::kStale);
+  Apply(MakeReport("i-1", 100, 20));
+  EXPECT_FALSE(registry_.takes_work());
+  // A later run under the same id is another one.
+  EXPECT_EQ(Apply(MakeReport("i-1", 6000, 1)), ReportOutcome::kChanged);
+  EXPECT_TRUE(registry_.takes_work());
+}
+
 TEST_F(BackendRegistryTest, AServerAtAnotherAddressIsNotThisOne) {
   state::BackendReport foreign = MakeReport("i-9", 900, 1);
   foreign.endpoint.port = 9999;
