--- a/tools/sesamespread/main.cc
+++ b/tools/sesamespread/main.cc
@@ -27,6 +27,7 @@
     {"status", RunStatus, "print the status of a node"},
     {"drain", RunDrain, "take a backend server out of service"},
     {"load", RunLoad, "send load to a service"},
+    {"trace", RunTrace, "explain a failed request from logs"},
     {"completion", RunCompletion, "print a script for shell completion"},
 };
 
--- a/tools/sesamespread/verbs.h
+++ b/tools/sesamespread/verbs.h
@@ -30,6 +30,7 @@
 int RunExplain(int argc, char** argv);
 int RunStatus(int argc, char** argv);
 int RunDrain(int argc, char** argv);
+int RunTrace(int argc, char** argv);
 int RunCompletion(int argc, char** argv);
 
 }  // namespace sesamespread::tools
--- /dev/null
+++ b/unittests/state/request_trace_test.cc
@@ -0,0 +1,71 @@
+/// \file
+/// Guards against an explanation that blames the wrong call or another request.
+#include "sesamespread/state/request_trace.h"
+
+#include <gtest/gtest.h>
+
+namespace sesamespread::state {
+namespace {
+
+std::string Line(const std::string& time,
+                 const std::string& node,
+                 const std::string& event,
+                 const std::string& rest) {
+  return "   1.5 host time=2026-01-01T00:00:" + time +
+         " level=info node=" + node + " event=" + event + " " + rest;
+}
+
+TEST(RequestTraceTest, ParsesQuotedValuesAndPrefixes) {
+  const auto line = ParseLogLine(
+      Line("01Z", "a", "call_executed", R"(request=r1 detail="a \"b\" c=d")"));
+  ASSERT_TRUE(line.has_value());
+  EXPECT_EQ(line->node, "a");
+  EXPECT_EQ(line->Field("detail"), "a \"b\" c=d");
+  EXPECT_EQ(line->Field("none"), "");
+}
+
+TEST(RequestTraceTest, RefusesTornLines) {
+  for (const char* text :
+       {"", "time=1 node=a", "time=1 node=a event=x detail=\"cut",
+        "time=1 node=a event=x trailing", "{\"time\": 1}"})
+    EXPECT_FALSE(ParseLogLine(text).has_value()) << text;
+}
+
+TEST(RequestTraceTest, NamesTheDeepestCallThatFailed) {
+  RequestTrace trace("r1");
+  trace.Add(Line("04Z", "a", "request_answered",
+                 "request=r1 service=orders result=100 status=500"));
+  trace.Add(Line("03Z", "b", "request_answered",
+                 "request=r1.c1 service=plans result=100 status=500"));
+  trace.Add(Line("02Z", "c", "request_refused",
+                 "request=r1.c1.c2 service=prices result=202 status=503 "
+                 "detail=\"no server has room\""));
+  trace.Add(Line("01Z", "d", "request_refused",
+                 "request=r11.c1.c2.c3 service=prices result=202 status=503"));
+  const auto lines = trace.Lines();
+  ASSERT_EQ(lines.size(), 3U);
+  EXPECT_EQ(lines.front().node, "c");
+  const std::string cause = trace.Cause();
+  EXPECT_NE(cause.find("node c"), std::string::npos) << cause;
+  EXPECT_NE(cause.find("queue is full (prices): no server has room"),
+            std::string::npos)
+      << cause;
+}
+
+TEST(RequestTraceTest, CountsLinesItCannotRead) {
+  RequestTrace trace("r1");
+  trace.Add("time=1 node=a event=x request=r1 detail=\"cut");
+  trace.Add("other text");
+  EXPECT_EQ(trace.unreadable(), 1U);
+  EXPECT_EQ(trace.Cause(), "");
+}
+
+TEST(RequestTraceTest, SaysWhenNothingFailed) {
+  RequestTrace trace("r1");
+  trace.Add(Line("01Z", "a", "request_answered",
+                 "request=r1 service=orders result=100 status=200"));
+  EXPECT_NE(trace.Cause().find("no failure"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace sesamespread::state
