--- a/lib/state/request_trace.cc
+++ b/lib/state/request_trace.cc
@@ -49,7 +49,6 @@
 
 bool IsFailure(const LogLine& line) {
   if (line.event == "request_refused" || line.event == "request_failed" ||
-      line.event == "request_abandoned" ||
       line.event == "request_without_route")
     return true;
   return line.event == "request_answered" && line.Field("status") >= "500";
@@ -93,7 +92,8 @@
     auto value = TakeValue(&text);
     if (!value)
       return std::nullopt;
-    line.fields[key] = std::move(*value);
+    // Of two fields with one name the first is the line's own.
+    line.fields.emplace(key, std::move(*value));
     text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
   }
   line.time = line.Field("time");
@@ -136,17 +136,23 @@
 std::string RequestTrace::Cause() const {
   if (lines_.empty())
     return {};
-  // A failure travels up: the first of the deepest calls is where it began.
+  // A failure travels up: the first of the deepest calls is where it began. A
+  // call that was given up is the effect of a failure above it, and a cause
+  // only if there is no other.
   const LogLine* cause = nullptr;
+  const LogLine* given_up = nullptr;
   const auto depth = [](const LogLine& line) {
     const std::string id = line.Field(kRequestField);
     return std::count(id.begin(), id.end(), '.');
   };
   const std::vector<LogLine> lines = Lines();
   for (const LogLine& line : lines) {
+    if (line.event == "request_abandoned" && !given_up)
+      given_up = &line;
     if (IsFailure(line) && (!cause || depth(line) > depth(*cause)))
       cause = &line;
   }
+  cause = cause ? cause : given_up;
   if (!cause)
     return "no failure of the request or its calls is in these logs";
   const bool is_call = cause->Field(kRequestField) != request_id_;
--- a/unittests/state/request_trace_test.cc
+++ b/unittests/state/request_trace_test.cc
@@ -52,6 +52,25 @@
       << cause;
 }
 
+// Calls that were given up when the link above them was lost are no cause.
+TEST(RequestTraceTest, CallsGivenUpAreNoCause) {
+  RequestTrace trace("r1");
+  trace.Add(Line("01Z", "a", "request_failed",
+                 "request=r1 service=orders result=301 status=502 "
+                 "detail=\"link closed\""));
+  trace.Add(Line("02Z", "b", "request_abandoned",
+                 "request=r1.c1 service=plans result=306 status=0"));
+  EXPECT_NE(trace.Cause().find("it failed at"), std::string::npos);
+  EXPECT_NE(trace.Cause().find("link closed"), std::string::npos);
+}
+
+TEST(RequestTraceTest, TheNodeOfALineIsTheOneThatWroteIt) {
+  const auto line =
+      ParseLogLine(Line("01Z", "a", "request_failed", "request=r1 node=ff"));
+  ASSERT_TRUE(line.has_value());
+  EXPECT_EQ(line->node, "a");
+}
+
 TEST(RequestTraceTest, CountsLinesItCannotRead) {
   RequestTrace trace("r1");
   trace.Add("time=1 node=a event=x request=r1 detail=\"cut");
