--- a/include/sesamespread/coordination/overload.h
+++ b/include/sesamespread/coordination/overload.h
@@ -25,13 +25,13 @@
   /// so that no slot is idle between two calls.
   state::Duration wait_target = std::chrono::milliseconds(25);
   /// Wait beyond the target for which one rank is refused at once, until the
-  /// queue is shorter. The queue grows by the overload, and an answer takes some
-  /// tenths of a second to reach the entry: a shorter range makes the two swing
-  /// against each other.
+  /// queue is shorter. The queue grows by the overload, and an answer takes
+  /// some tenths of a second to reach the entry: a shorter range makes the two
+  /// swing against each other.
   state::Duration wait_per_rank = std::chrono::milliseconds(200);
-  /// Time after which an excess has lowered the threshold for good by as much as
-  /// it lowers it at once. Brings the wait back to the target while an overload
-  /// lasts.
+  /// Time after which an excess has lowered the threshold for good by as much
+  /// as it lowers it at once. Brings the wait back to the target while an
+  /// overload lasts.
   state::Duration integration_time = std::chrono::milliseconds(1500);
   /// Ranks that are admitted again per second while all slots are free.
   double ranks_per_second_idle = 1.5;
--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -33,8 +33,8 @@
   std::size_t max_queued = 2048;
   /// Calls start in the order of their arrival plus this part of the time to
   /// their objective, by rank; ranks beyond the last have its value. A request
-  /// with many calls one after the other meets the wait at each of them, so that
-  /// the calls for the most important requests hardly wait.
+  /// with many calls one after the other meets the wait at each of them, so
+  /// that the calls for the most important requests hardly wait.
   std::array<double, 3> urgency = {0.1, 1.0, 1.25};
   /// Share of one answer in the averages of service times.
   double gain = 0.1;
--- a/include/sesamespread/coordination/split_rotation.h
+++ b/include/sesamespread/coordination/split_rotation.h
@@ -14,9 +14,9 @@
 
 /// Draws targets by a sequence of equidistributed points: after any number of
 /// requests each target's count is within a few of its share, from any starting
-/// point and also while the weights change. Random choice would need hundreds of
-/// requests to come as close. A target that has no room keeps its turns; moving
-/// them would change the shares that the operator set.
+/// point and also while the weights change. Random choice would need hundreds
+/// of requests to come as close. A target that has no room keeps its turns;
+/// moving them would change the shares that the operator set.
 class SplitRotation {
  public:
   /// The starting points depend on \p seed, so that the shares also hold over
--- a/include/sesamespread/coordination/wait_table.h
+++ b/include/sesamespread/coordination/wait_table.h
@@ -17,8 +17,9 @@
 /// route, since calls of different routes wait for different times.
 class WaitTable {
  public:
-  /// A report counts this long. A queue drains as fast as time passes, so that a
-  /// report is worth less the older it is; this bounds its error the other way.
+  /// A report counts this long. A queue drains as fast as time passes, so that
+  /// a report is worth less the older it is; this bounds its error the other
+  /// way.
   static constexpr state::Duration kMaxAge = std::chrono::milliseconds(150);
 
   void Observe(state::NodeId node,
