--- a/tools/standins/backend.cc
+++ b/tools/standins/backend.cc
@@ -33,6 +33,7 @@
 using namespace std::chrono_literals;
 using sesamespread::transport::FieldOf;
 using sesamespread::transport::HttpClient;
+using sesamespread::transport::HttpClientOptions;
 using sesamespread::transport::HttpExchange;
 using sesamespread::transport::HttpOutcome;
 using sesamespread::transport::HttpOutcomeKind;
@@ -87,6 +88,15 @@
   return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
 }
 
+// Most connections to one endpoint: as many calls as the slots of any server.
+constexpr std::size_t kMaxConnections = 4096;
+
+HttpClientOptions ClientOptions() {
+  HttpClientOptions options;
+  options.max_connections_per_endpoint = kMaxConnections;
+  return options;
+}
+
 class Backend {
  public:
   explicit Backend(BackendOptions options)
@@ -95,7 +105,7 @@
                      ? std::ofstream()
                      : std::ofstream(options_.journal, std::ios::app)),
         random_(options_.seed),
-        client_(context_, {.max_connections_per_endpoint = 4096}),
+        client_(context_, ClientOptions()),
         sharing_(context_, options_.slots, options_.cold_start),
         announce_timer_(context_),
         exit_timer_(context_),
