Confirm the leave of a server only once it would survive a restart

Cause: a node answered the report of a leave at once and only then sent it to the store and its peers. Peers answer the first copy of a leave. Rows of leaves are keyed by host, so that a node reads and keeps its own only; a failed read is repeated. The soak repeats an unconfirmed leave as the platform's servers do.

--- a/include/sesamespread/coordination/row_store.h
+++ b/include/sesamespread/coordination/row_store.h
@@ -48,8 +48,11 @@
 
   virtual ~RowStore() = default;
 
-  /// Reads all rows of \p table, in order of key.
-  virtual void Read(const std::string& table, RowsCallback done) = 0;
+  /// Reads the rows of \p table whose key starts with \p prefix, in order of
+  /// key; all rows if \p prefix is empty.
+  virtual void Read(const std::string& table,
+                    const std::string& prefix,
+                    RowsCallback done) = 0;
 
   /// Long poll: returns the changes of \p table after \p version as soon as
   /// there is one, or none after \p wait.
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -79,7 +79,9 @@
   return options;
 }
 
-HttpResponse JsonResponse(std::uint16_t status, std::string body = {}) {
+}  // namespace
+
+HttpResponse JsonResponse(std::uint16_t status, std::string body) {
   HttpResponse response;
   response.status = status;
   response.headers = {{"Content-Type", "application/json"}};
@@ -87,8 +89,6 @@
   return response;
 }
 
-}  // namespace
-
 RouteNode::Impl::Impl(const state::RouteNodeSettings& settings,
                       std::string settings_path,
                       PlatformInterface interface)
@@ -173,7 +173,7 @@
   WaitForSignal();
   ReadOrWatchDocument();
   ReadNodeTable();
-  ReadLeaveTable();
+  RecoverLeaves();
   StartHealthCheck();
   Tick();
   context_.run();
@@ -239,7 +239,11 @@
          {"leaving", report && !report->leaving ? "false" : "true"},
          {"outcome", std::to_string(static_cast<int>(outcome))}});
   }
-  exchange->Respond(JsonResponse(200, "{}"));
+  const bool is_leave = !report || report->leaving;
+  if (is_leave)
+    ConfirmLeave(identity.instance, exchange);
+  else
+    exchange->Respond(JsonResponse(200, "{}"));
 }
 
 void RouteNode::Impl::HandleReady(
@@ -303,7 +307,7 @@
     return;
   }
   if (const auto* left = std::get_if<protocol::BackendLeft>(&message)) {
-    OnBackendLeft(*left);
+    OnBackendLeft(*left, reply);
     return;
   }
   if (std::holds_alternative<protocol::NodeRecordsPull>(message)) {
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -13,12 +13,15 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "sesamespread/coordination/backend_registry.h"
+#include "sesamespread/coordination/leave_durability.h"
 #include "sesamespread/coordination/route_table.h"
 #include "sesamespread/coordination/routing.h"
 #include "sesamespread/coordination/table_watch.h"
@@ -39,6 +42,9 @@
 
 namespace sesamespread::transport {
 
+/// An answer of one of the node's own ports.
+HttpResponse JsonResponse(std::uint16_t status, std::string body);
+
 class RouteNode::Impl : private CallExecutor {
  public:
   Impl(const state::RouteNodeSettings& settings,
@@ -95,14 +101,21 @@
   // Backend servers that have left. A node that restarts must not send work to
   // a server whose leave it had confirmed before; some servers pass health
   // checks until they end.
+  void RecoverLeaves();
   void ReadLeaveTable();
   void OnLeaveRows(const coordination::RowsReply& reply);
-  void OnBackendLeft(const protocol::BackendLeft& left);
+  std::string LeaveKeyPrefix() const;
+  void OnBackendLeft(const protocol::BackendLeft& left, const Reply& reply);
   // Applies a leave that the store or a peer supplied.
   void ProcessLeave(const std::string& instance, std::uint64_t left_ms);
   // Applies a leave of the local backend server, broadcasts and stores it.
   void RecordLeave(const std::string& instance);
   void StoreLeave(const std::string& instance, std::uint64_t left_ms);
+  // Answers the report of a leave once coordination::LeaveDurability has a
+  // verdict.
+  void ConfirmLeave(const std::string& instance,
+                    std::shared_ptr<HttpExchange> exchange);
+  void AnswerLeave(const std::string& instance);
   // Returns true once it is known which local instances have left, or the wait
   // for it has timed out.
   bool IsLeaveStateKnown() const {
@@ -175,6 +188,21 @@
 
   // The latest leave beside each other node, kept for that node's restart.
   std::unordered_map<state::NodeId, protocol::BackendLeft> latest_leaves_;
+  // A leave that this process has recorded, and the reports of it that wait for
+  // an answer.
+  struct RecordedLeave {
+    explicit RecordedLeave(state::Instant now) : durability(now) {}
+    coordination::LeaveDurability durability;
+    std::vector<std::shared_ptr<HttpExchange>> waiting;
+  };
+  // By instance. One server at a time runs beside this node, so that few leave
+  // in the lifetime of a process.
+  std::unordered_map<std::string, RecordedLeave> leaves_;
+  // Time and key of the rows of this host in the leave table, including those
+  // that are being written.
+  std::set<std::pair<std::uint64_t, std::string>> stored_leaves_;
+  // Delay after the last failed read of the leave table.
+  state::Duration leave_table_retry_delay_{0};
   // Local leaves from before this process started are read from the store,
   // which may lack the latest one, and requested from a peer, which may have
   // restarted itself. After kLeaveStateTimeout the node continues with what it
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -49,6 +49,13 @@
 /// has just lost at once and again after 0.4 s.
 constexpr Duration kLeaveStateTimeout = milliseconds(600);
 
+// Separates the name of the host from the instance in a key of the leave table.
+constexpr char kHostSeparator = '/';
+
+/// Leaves of this host that are kept in the store. Earlier instances have ended
+/// long ago.
+constexpr std::size_t kMaxStoredLeaves = 8;
+
 // Returns the time in milliseconds in a row of the leave table, or 0 if the
 // value has another format; 0 matches no instance with a known start time.
 std::uint64_t ParseLeaveTimeMs(const std::string& value) {
@@ -73,7 +80,7 @@
     OnDocumentRows(reply);
   };
   if (call.is_read)
-    store_->Read(interface_.document_table, done);
+    store_->Read(interface_.document_table, {}, done);
   else
     store_->Watch(interface_.document_table, call.after, call.wait, done);
 }
@@ -132,7 +139,7 @@
 
 void RouteNode::Impl::ReadNodeTable() {
   store_->Read(
-      interface_.node_table,
+      interface_.node_table, {},
       [this](const coordination::RowsReply& reply) { OnNodeRows(reply); });
 }
 
@@ -195,10 +202,8 @@
 
 // --- Backend servers that have left
 
-void RouteNode::Impl::ReadLeaveTable() {
-  store_->Read(
-      interface_.leave_table,
-      [this](const coordination::RowsReply& reply) { OnLeaveRows(reply); });
+void RouteNode::Impl::RecoverLeaves() {
+  ReadLeaveTable();
   // If the store does not answer, the leaves come from the other nodes, which
   // are expected to have reconnected and sent them within the timeout.
   deadlines_.Schedule(Now() + kLeaveStateTimeout, [this] {
@@ -207,11 +212,32 @@
   });
 }
 
+std::string RouteNode::Impl::LeaveKeyPrefix() const {
+  return settings_.name + kHostSeparator;
+}
+
+void RouteNode::Impl::ReadLeaveTable() {
+  store_->Read(
+      interface_.leave_table, LeaveKeyPrefix(),
+      [this](const coordination::RowsReply& reply) { OnLeaveRows(reply); });
+}
+
 void RouteNode::Impl::OnLeaveRows(const coordination::RowsReply& reply) {
-  if (reply.status != coordination::StoreStatus::kDone)
+  if (reply.status != coordination::StoreStatus::kDone) {
+    // A leave that only the store has must be applied also if the store returns
+    // after kLeaveStateTimeout.
+    leave_table_retry_delay_ = std::clamp(
+        leave_table_retry_delay_ * 2, kMinTableRetryDelay, kMaxTableRetryDelay);
+    deadlines_.Schedule(Now() + leave_table_retry_delay_,
+                        [this] { ReadLeaveTable(); });
     return;
-  for (const coordination::StoreRow& row : reply.rows)
-    ProcessLeave(row.key, ParseLeaveTimeMs(row.value));
+  }
+  const std::size_t prefix = LeaveKeyPrefix().size();
+  for (const coordination::StoreRow& row : reply.rows) {
+    const std::uint64_t left_ms = ParseLeaveTimeMs(row.value);
+    stored_leaves_.insert({left_ms, row.key});
+    ProcessLeave(row.key.substr(prefix), left_ms);
+  }
   leaves_read_from_store_ = true;
   ApplyUnconfirmedReport();
 }
@@ -223,15 +249,26 @@
     ApplyBackendChange();
 }
 
-void RouteNode::Impl::OnBackendLeft(const protocol::BackendLeft& left) {
+void RouteNode::Impl::OnBackendLeft(const protocol::BackendLeft& left,
+                                    const Reply& reply) {
   if (left.node != directory_.self().node) {
+    const auto [known, is_first] = latest_leaves_.try_emplace(left.node, left);
+    // The leave arrives on each link between the two nodes; the sender counts
+    // the answers as copies, so that only the first one is answered.
+    if (!is_first && std::exchange(known->second, left) == left)
+      return;
     Log(LogLevel::kInfo, "leave_heard",
         {{"of_node", state::ToHex(left.node)},
          {"instance", left.instance},
          {"left_ms", std::to_string(left.left_ms)}});
-    latest_leaves_[left.node] = left;
+    reply(left);
     return;
   }
+  const auto recorded = leaves_.find(left.instance);
+  if (recorded != leaves_.end()) {
+    recorded->second.durability.OnPeerCopy();
+    AnswerLeave(left.instance);
+  }
   if (!left.instance.empty())
     ProcessLeave(left.instance, left.left_ms);
   leave_received_from_peer_ = true;
@@ -239,21 +276,70 @@
 }
 
 void RouteNode::Impl::RecordLeave(const std::string& instance) {
+  const Instant now = Now();
   const std::uint64_t left_ms = state::WallMilliseconds(WallNow());
-  registry_.ApplyInstanceLeave(instance, left_ms, Now());
+  registry_.ApplyInstanceLeave(instance, left_ms, now);
+  if (!leaves_.try_emplace(instance, RecordedLeave{now}).second)
+    return;
   const protocol::BackendLeft left{directory_.self().node, instance, left_ms};
   inbound_.Broadcast(left);
   outbound_.Broadcast(left);
   StoreLeave(instance, left_ms);
+  for (const Duration delay : {coordination::LeaveDurability::kStoreTimeout,
+                               coordination::LeaveDurability::kAnswerTimeout})
+    deadlines_.Schedule(now + delay,
+                        [this, instance] { AnswerLeave(instance); });
+}
+
+void RouteNode::Impl::ConfirmLeave(const std::string& instance,
+                                   std::shared_ptr<HttpExchange> exchange) {
+  const auto found = leaves_.find(instance);
+  if (found == leaves_.end()) {
+    exchange->Respond(JsonResponse(200, "{}"));
+    return;
+  }
+  found->second.waiting.push_back(std::move(exchange));
+  AnswerLeave(instance);
+}
+
+void RouteNode::Impl::AnswerLeave(const std::string& instance) {
+  const auto found = leaves_.find(instance);
+  if (found == leaves_.end() || found->second.waiting.empty())
+    return;
+  const coordination::LeaveDurability& durability = found->second.durability;
+  const auto verdict = durability.Verdict(Now());
+  if (verdict == coordination::LeaveVerdict::kPending)
+    return;
+  const bool is_confirmed = verdict == coordination::LeaveVerdict::kConfirm;
+  Log(is_confirmed ? LogLevel::kInfo : LogLevel::kWarning,
+      is_confirmed ? "leave_confirmed" : "leave_not_confirmed",
+      {{"instance", instance},
+       {"stored", durability.is_stored() ? "true" : "false"},
+       {"peer_copies", std::to_string(durability.peer_copies())}});
+  for (const auto& exchange : std::exchange(found->second.waiting, {}))
+    exchange->Respond(JsonResponse(is_confirmed ? 200 : 503, "{}"));
 }
 
 void RouteNode::Impl::StoreLeave(const std::string& instance,
                                  std::uint64_t left_ms) {
-  store_->Write(interface_.leave_table, instance, std::to_string(left_ms), {},
+  const std::string key = LeaveKeyPrefix() + instance;
+  std::vector<std::string> removed;
+  stored_leaves_.insert({left_ms, key});
+  while (stored_leaves_.size() > kMaxStoredLeaves) {
+    removed.push_back(stored_leaves_.begin()->second);
+    stored_leaves_.erase(stored_leaves_.begin());
+  }
+  store_->Write(interface_.leave_table, key, std::to_string(left_ms), removed,
                 [this, instance, left_ms](coordination::StoreStatus status,
                                           const std::string& detail) {
-                  if (status == coordination::StoreStatus::kDone)
+                  if (status == coordination::StoreStatus::kDone) {
+                    const auto found = leaves_.find(instance);
+                    if (found == leaves_.end())
+                      return;
+                    found->second.durability.OnStored();
+                    AnswerLeave(instance);
                     return;
+                  }
                   Log(LogLevel::kWarning, "leave_not_stored",
                       {{"instance", instance}, {"detail", detail}});
                   deadlines_.Schedule(Now() + kStoreLeaveRetryDelay,
--- a/test/route_node/route_node_test.cc
+++ b/test/route_node/route_node_test.cc
@@ -15,6 +15,7 @@
 
 #include "deployment.h"
 #include "sesamespread/transport/acceptor.h"
+#include "sesamespread/transport/clock.h"
 
 namespace sesamespread::test {
 namespace {
@@ -156,6 +157,40 @@
   EXPECT_TRUE(leaving.backend->executed_ids().empty());
 }
 
+// Guards against a confirmed leave that nobody but the confirming node has: the
+// store and the peers are out of its reach, and it is killed afterwards.
+TEST(RouteNodeLeaveTest, ALeaveWithoutAnyCopyIsNotConfirmed) {
+  RouteDeployment deployment({{"shop", "stock", "stock"}, true});
+  ASSERT_TRUE(deployment.WaitUntilServing());
+  RouteHost& leaving = deployment.stock(0);
+  ASSERT_EQ(leaving.backend->Report(false), kOk);
+  bench::ProxyFault silent;
+  silent.holds_requests = silent.holds_answers = true;
+  for (RouteHost& host : deployment.hosts())
+    host.peer_proxy->SetFault(silent);
+  leaving.store_proxy->SetFault(silent);
+  EXPECT_EQ(leaving.backend->Report(true), kUnavailable);
+  deployment.KillNode(leaving);
+  for (RouteHost& host : deployment.hosts())
+    host.peer_proxy->SetFault({});
+  leaving.store_proxy->SetFault({});
+  deployment.StartNode(leaving);
+  ASSERT_TRUE(bench::WaitFor([&] { return deployment.IsReady(leaving); },
+                             kTestTimeout));
+  // The server reports its leave until it is confirmed.
+  ASSERT_TRUE(bench::WaitFor(
+      [&] { return leaving.backend->Report(true) == kOk; }, kTestTimeout));
+  EXPECT_GT(deployment.store().RowCount("sesamespread-left"), 0U);
+  deployment.KillNode(leaving);
+  deployment.StartNode(leaving);
+  ASSERT_TRUE(bench::WaitFor([&] { return deployment.IsReady(leaving); },
+                             kTestTimeout));
+  const state::Instant restarted = transport::Now();
+  for (int i = 0; i < 40; ++i)
+    deployment.Send(leaving, "stock.example", "s" + std::to_string(i));
+  EXPECT_TRUE(leaving.backend->ExecutedAfter(restarted).empty());
+}
+
 // Guards against a planned stop that fails a running request or exceeds the
 // shutdown timeout.
 TEST_F(RouteNodeTest, APlannedStopCompletesRunningRequests) {
--- a/test/soak/route_soak.cc
+++ b/test/soak/route_soak.cc
@@ -59,7 +59,9 @@
   // Highest version of the routes that this node process has reported.
   double version = 0;
   Instant stop_sent;
-  // Time of the leave, set while the backend server leaves.
+  // Set from the first report of a leave until the backend server is replaced.
+  bool is_leaving = false;
+  // Time at which the leave was confirmed.
   std::optional<Instant> left_at;
   unsigned backend_number = 0;
 };
@@ -113,6 +115,8 @@
   // \returns the first failure; empty if all requests were answered.
   std::string SendFinalRequests();
   void CollectExecutions(std::size_t host);
+  // Reports a leave until it is confirmed.
+  void ReportLeave(std::size_t host);
   void FinishLeave(std::size_t host);
   void StartNode(std::size_t host);
 
@@ -292,10 +296,19 @@
 void RouteSoak::ReplaceBackend() {
   const std::size_t host = RandomHost();
   HostState& state = states_[host];
-  if (state.node != NodeState::kRunning || state.left_at)
+  if (state.node != NodeState::kRunning || state.is_leaving)
     return;
-  if (HostAt(host).backend->Report(true) != 200)
+  state.is_leaving = true;
+  ReportLeave(host);
+}
+
+void RouteSoak::ReportLeave(std::size_t host) {
+  HostState& state = states_[host];
+  if (state.node != NodeState::kRunning ||
+      HostAt(host).backend->Report(true) != 200) {
+    Schedule(kReportInterval, [this, host] { ReportLeave(host); });
     return;
+  }
   AddLogLine(fmt::format("backend of host-{} leaves", host));
   state.left_at = transport::Now();
   Schedule(kMaxDrainTime + kMaxFaultDuration,
@@ -313,6 +326,7 @@
         host, late_executions.size(), late_executions.front()));
   CollectExecutions(host);
   state.left_at.reset();
+  state.is_leaving = false;
   deployment_.StartBackend(
       HostAt(host), fmt::format("i-{}-{}", host, ++state.backend_number));
   HostAt(host).backend->SetServiceTime(kServiceTime);
@@ -337,7 +351,7 @@
 
 void RouteSoak::ReportBackends() {
   for (std::size_t i = 0; i < states_.size(); ++i) {
-    if (states_[i].node == NodeState::kRunning && !states_[i].left_at)
+    if (states_[i].node == NodeState::kRunning && !states_[i].is_leaving)
       HostAt(i).backend->Report(false);
   }
 }
@@ -405,11 +419,17 @@
 }
 
 void RouteSoak::EndFaults() {
+  const Instant limit = transport::Now() + kMaxRecoveryTime;
   while (!scheduled_actions_.empty() ||
          std::any_of(states_.begin(), states_.end(), [](const HostState& s) {
            return s.node == NodeState::kStopping;
-         }))
+         })) {
+    if (transport::Now() > limit) {
+      AddViolation("a leave is not confirmed within 15 s after the faults");
+      return;
+    }
     RunUntil(transport::Now() + milliseconds(50));
+  }
 }
 
 void RouteSoak::CheckRecovery() {
