Ask several peers for the leaves of a restarted node's server

Cause: a restarted node asked for the leaves of its server on new links only until the first answer. Change: leaves are requested on 16 links, and on every new link until the store has supplied its own. The soak logs the host of each fault.

--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -24,6 +24,10 @@
 /// records as there are nodes.
 constexpr int kMaxRecordPulls = 2;
 
+/// Links on which the local leaves are requested once the store has supplied
+/// those that it has.
+constexpr int kMaxLeavePulls = 16;
+
 /// Timeout for receiving a caller's request, from its first byte to its last.
 constexpr Duration kReceiveTimeout = seconds(10);
 
@@ -277,8 +281,12 @@
     ++record_pulls_sent_;
     messages.emplace_back(protocol::NodeRecordsPull{0});
   }
-  if (!leave_received_from_peer_)
+  // A peer that has restarted itself knows of no leave, so that more than one
+  // is asked, and all of them while the store does not answer.
+  if (!leaves_read_from_store_ || leave_pulls_sent_ < kMaxLeavePulls) {
+    ++leave_pulls_sent_;
     messages.emplace_back(protocol::BackendLeftPull{directory_.self().node});
+  }
   return messages;
 }
 
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -204,11 +204,13 @@
   // Delay after the last failed read of the leave table.
   state::Duration leave_table_retry_delay_{0};
   // Local leaves from before this process started are read from the store,
-  // which may lack the latest one, and requested from a peer, which may have
-  // restarted itself. After kLeaveStateTimeout the node continues with what it
+  // which may lack the latest one, and requested from peers, some of which may
+  // have restarted themselves. After kLeaveStateTimeout the node continues with what it
   // has received.
   bool leaves_read_from_store_ = false;
   bool leave_received_from_peer_ = false;
+  // Links on which the local leaves were requested.
+  int leave_pulls_sent_ = 0;
   bool leave_wait_expired_ = false;
   // A report or the result of a health check that arrived before the leave
   // state was known.
--- a/test/route_node/route_node_test.cc
+++ b/test/route_node/route_node_test.cc
@@ -191,6 +191,40 @@
   EXPECT_TRUE(leaving.backend->ExecutedAfter(restarted).empty());
 }
 
+// Guards against a restarted node that asks one peer only for the leaves of its
+// server: a peer that restarted after the leave knows of none.
+TEST(RouteNodeLeaveTest, ALeaveIsFoundAlthoughAPeerHasRestartedToo) {
+  RouteDeployment deployment({{"shop", "stock", "stock", "stock"}, true});
+  ASSERT_TRUE(deployment.WaitUntilServing());
+  RouteHost& leaving = deployment.stock(0);
+  RouteHost& restarted_peer = deployment.stock(1);
+  ASSERT_EQ(leaving.backend->Report(false), kOk);
+  ASSERT_EQ(leaving.backend->Report(true), kOk);
+  deployment.KillNode(leaving);
+  deployment.KillNode(restarted_peer);
+  deployment.StartNode(restarted_peer);
+  ASSERT_TRUE(bench::WaitFor([&] { return deployment.IsReady(restarted_peer); },
+                             kTestTimeout));
+  // The leaving server's node can't reach the store, and it reaches the peer
+  // that has restarted sooner than the others.
+  bench::ProxyFault silent;
+  silent.holds_requests = silent.holds_answers = true;
+  leaving.store_proxy->SetFault(silent);
+  for (RouteHost* host : {&deployment.shop(), &deployment.stock(2)})
+    host->node->Signal(SIGSTOP);
+  const state::Instant restarted = transport::Now();
+  deployment.StartNode(leaving);
+  ASSERT_TRUE(bench::WaitFor([&] { return deployment.IsReady(leaving); },
+                             kTestTimeout));
+  std::this_thread::sleep_for(milliseconds(500));
+  for (RouteHost* host : {&deployment.shop(), &deployment.stock(2)})
+    host->node->Signal(SIGCONT);
+  std::this_thread::sleep_for(milliseconds(1000));
+  for (int i = 0; i < 40; ++i)
+    deployment.Send(leaving, "stock.example", "s" + std::to_string(i));
+  EXPECT_TRUE(leaving.backend->ExecutedAfter(restarted).empty());
+}
+
 // Guards against a planned stop that fails a running request or exceeds the
 // shutdown timeout.
 TEST_F(RouteNodeTest, APlannedStopCompletesRunningRequests) {
--- a/test/soak/route_soak.cc
+++ b/test/soak/route_soak.cc
@@ -140,7 +140,8 @@
     proxy.SetFault(fault);
     Schedule(RandomFaultDuration(), [&proxy] { proxy.SetFault({}); });
   }
-  std::size_t RandomHost() { return random_() % states_.size(); }
+  // Chooses the host of a fault and logs it.
+  std::size_t RandomHost();
   RouteHost& HostAt(std::size_t host) { return deployment_.hosts()[host]; }
   void AddViolation(std::string text) {
     report_.violations.push_back(std::move(text));
@@ -411,6 +412,12 @@
   }
 }
 
+std::size_t RouteSoak::RandomHost() {
+  const std::size_t host = random_() % states_.size();
+  AddLogLine(fmt::format("  at host-{}", host));
+  return host;
+}
+
 void RouteSoak::Inject() {
   const NamedFault& injected_fault = kFaults[random_() % std::size(kFaults)];
   AddLogLine(injected_fault.name);
