Keep and check every link to a known node while it is idle

Cause: a link that a control message or a call opened before the directory asked for it was neither persistent nor compressed. Removing a node closed its link, which then reconnected. Change: the directory opens the link as soon as it learns of a node; a removed node is not reconnected.

--- a/include/sesamespread/transport/node_directory.h
+++ b/include/sesamespread/transport/node_directory.h
@@ -82,6 +82,7 @@
   };
 
   void StoreRecord(const state::NodeRecord& record);
+  void OpenLink(const state::NodeRecord& record);
   void UpdateRouter(const std::string& service);
 
   state::NodeRecord self_;
--- a/include/sesamespread/transport/outbound_calls.h
+++ b/include/sesamespread/transport/outbound_calls.h
@@ -112,8 +112,8 @@
   /// bytes sent at the cost of processor time at both ends.
   void Open(state::NodeId node, const state::Endpoint& endpoint, bool compress);
 
-  /// Closes the link to \p node, or removes its entry if there is no link. Has
-  /// no effect while a link is being opened.
+  /// Closes the link to \p node, also one that is being opened, and opens no
+  /// other one until the node is used again.
   void RemoveNode(state::NodeId node);
 
   /// Sends \p message on each link that is ready.
@@ -160,6 +160,8 @@
     // The link is not closed while idle.
     bool is_persistent = false;
     bool is_compressed = false;
+    // RemoveNode was called; the session is erased once its link has closed.
+    bool is_removed = false;
   };
 
   PeerSession& SessionOf(state::NodeId node, const state::Endpoint& endpoint);
@@ -171,6 +173,7 @@
   void OnConnected(state::NodeId node, const std::shared_ptr<PeerLink>& link);
   void SendCall(Handle handle, PendingCall& call, PeerSession& session);
   void FailWaiting(PeerSession& session);
+  void EraseSession(state::NodeId node);
   void OnLinkClosed(state::NodeId node,
                     const PeerLink* link,
                     const std::string& reason);
--- a/lib/transport/node_directory.cc
+++ b/lib/transport/node_directory.cc
@@ -95,8 +95,12 @@
   }
   Node& node = nodes_[record.node];
   const state::NodeRecord old = std::exchange(node.record, record);
-  if (old.peer != record.peer)
+  if (old.peer != record.peer) {
     node.connect_attempts = 0;
+    // Opened here and not with the first message to the node, because that link
+    // would be neither compressed nor checked while it is idle.
+    OpenLink(record);
+  }
   if (old.service != record.service ||
       old.backend_state != record.backend_state) {
     log_.Write(ThreadRole::kData, LogLevel::kInfo, "server_changed",
@@ -144,9 +148,7 @@
     const unsigned doublings = std::min(node.connect_attempts, 3U);
     node.next_attempt = now + std::min(kReconnectBaseDelay * (1 << doublings),
                                        kMaxReconnectDelay);
-    // Links between zones are compressed: traffic between zones costs more than
-    // the CPU time.
-    outbound_.Open(id, node.record.peer, node.record.zone != self_.zone);
+    OpenLink(node.record);
   }
   for (const state::NodeId id : unreachable) {
     log_.Write(ThreadRole::kData, LogLevel::kInfo, "node_forgotten",
@@ -157,6 +159,12 @@
   }
 }
 
+void NodeDirectory::OpenLink(const state::NodeRecord& record) {
+  // Links between zones are compressed: traffic between zones costs more than
+  // the CPU time.
+  outbound_.Open(record.node, record.peer, record.zone != self_.zone);
+}
+
 state::Endpoint NodeDirectory::EndpointOf(state::NodeId node) const {
   const auto found = nodes_.find(node);
   return found == nodes_.end() ? state::Endpoint{} : found->second.record.peer;
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -129,12 +129,22 @@
 
 void OutboundCalls::RemoveNode(state::NodeId node) {
   const auto found = sessions_.find(node);
-  if (found == sessions_.end() || found->second.connecting)
+  if (found == sessions_.end())
     return;
-  if (const auto link = found->second.link)
-    link->Close("the node is forgotten");
-  else
-    sessions_.erase(found);
+  PeerSession& session = found->second;
+  session.is_removed = true;
+  if (session.link)
+    session.link->Close("the node is forgotten");
+  else if (!session.connecting)
+    EraseSession(node);
+}
+
+void OutboundCalls::EraseSession(state::NodeId node) {
+  PeerSession& session = sessions_.at(node);
+  FailWaiting(session);
+  // The callbacks of the failed calls may have used the node again.
+  if (session.is_removed)
+    sessions_.erase(node);
 }
 
 void OutboundCalls::Broadcast(const protocol::PeerMessage& message) {
@@ -160,6 +170,7 @@
     std::exchange(session.link, nullptr)->Close("the node has a new address");
   }
   session.endpoint = endpoint;
+  session.is_removed = false;
   return session;
 }
 
@@ -180,6 +191,12 @@
                                 const std::shared_ptr<PeerLink>& link) {
   PeerSession& session = sessions_[node];
   session.connecting = false;
+  if (session.is_removed) {
+    if (link)
+      link->Close("the node is forgotten");
+    EraseSession(node);
+    return;
+  }
   if (!link) {
     FailWaiting(session);
     return;
@@ -275,7 +292,9 @@
     if (session.was_ready && observer_)
       observer_(node, false, reason);
     // Waiting calls are sent on a new link, unless this one was never ready.
-    if (session.was_ready)
+    if (session.is_removed)
+      EraseSession(node);
+    else if (session.was_ready)
       Connect(node);
     else
       FailWaiting(session);
--- /dev/null
+++ b/unittests/transport/node_directory_test.cc
@@ -0,0 +1,95 @@
+/// \file
+/// Guards against links that are not kept the way the directory needs them:
+/// idle links that are never checked, and links to nodes that were removed.
+#include "sesamespread/transport/node_directory.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sesamespread/transport/deadline_queue.h"
+#include "sesamespread/transport/peer_link.h"
+
+namespace sesamespread::transport {
+namespace {
+
+constexpr state::NodeId kPeer = 8;
+
+class NodeDirectoryTest : public ::testing::Test {
+ protected:
+  NodeDirectoryTest() {
+    outbound_.SetLinkObserver([this](state::NodeId node, bool is_open,
+                                     const std::string& reason) {
+      changes_.push_back(is_open);
+      directory_.OnLinkChange(node, is_open, reason);
+    });
+  }
+
+  static state::NodeRecord MakeRecord(state::NodeId node, std::uint16_t port) {
+    state::NodeRecord record;
+    record.node = node;
+    record.incarnation = 1;
+    record.sequence = 1;
+    record.name = "node-" + std::to_string(node);
+    record.zone = "zone-a";
+    record.peer = {"127.0.0.1", port};
+    return record;
+  }
+
+  template <typename Condition>
+  bool RunUntil(Condition condition,
+                state::Duration limit = std::chrono::seconds(10)) {
+    const state::Instant timeout_at = Now() + limit;
+    while (!condition() && Now() < timeout_at)
+      context_.run_one_for(std::chrono::milliseconds(20));
+    return condition();
+  }
+
+  // The links accepted by a peer that sends a hello and nothing after it.
+  std::vector<std::shared_ptr<PeerLink>> accepted_;
+  boost::asio::io_context context_{1};
+  PeerListener listener_{context_, {"127.0.0.1", 0},
+                         [this](std::shared_ptr<PeerLink> link) {
+                           link->Send(protocol::Hello{kPeer, 1, "peer"});
+                           accepted_.push_back(std::move(link));
+                         }};
+  DeadlineQueue deadlines_{context_};
+  OutboundCalls outbound_{context_, deadlines_, protocol::Hello{9, 1, "self"},
+                          [](state::NodeId, protocol::PeerMessage) {}};
+  coordination::Router router_{9, "zone-a"};
+  EventLog log_{LogLevel::kError, "self"};
+  NodeDirectory directory_{MakeRecord(9, 1), outbound_, router_, log_};
+  std::vector<bool> changes_;
+};
+
+// Guards against a node that misses the report about a peer's new backend
+// server: its link was opened by a control message, before the directory asked
+// for a link, and became silent while there were no calls.
+TEST_F(NodeDirectoryTest, ALinkThatAControlMessageOpenedIsCheckedWhileIdle) {
+  const state::NodeRecord record = MakeRecord(kPeer, listener_.port());
+  directory_.OnDirectRecord(record);
+  outbound_.SendControl(kPeer, record.peer, protocol::ConfigurationPull{0});
+  ASSERT_TRUE(RunUntil([&] { return changes_.size() == 1; }));
+  directory_.OpenMissingLinks(Now());
+  ASSERT_TRUE(RunUntil([&] { return changes_.size() >= 2; },
+                       kIdleLinkProbeDelay + std::chrono::seconds(2)));
+  EXPECT_FALSE(changes_[1]);
+}
+
+// Guards against a node that reconnects for good to an address that belongs to
+// another node.
+TEST_F(NodeDirectoryTest, ARemovedNodeIsNotReconnected) {
+  directory_.OnDirectRecord(MakeRecord(kPeer, listener_.port()));
+  directory_.OpenMissingLinks(Now());
+  ASSERT_TRUE(RunUntil([&] { return changes_.size() == 1; }));
+  outbound_.RemoveNode(kPeer);
+  ASSERT_TRUE(RunUntil([&] { return changes_.size() >= 2; }));
+  EXPECT_FALSE(RunUntil([&] { return accepted_.size() > 1; },
+                        std::chrono::milliseconds(300)));
+}
+
+}  // namespace
+}  // namespace sesamespread::transport
