Let two nodes of each zone watch the store for all others

Change: coordination/store_readers selects two live nodes per zone by their ids; the others learn of versions from announcements, one repeated each second to a random peer, and from answers of calls, and call the store themselves only without links, without routes or rarely. At the first start of the system a node writes its row before it reads the table and recovers no leaves (new setting bootstrap).

--- a/include/sesamespread/coordination/store_readers.h
+++ b/include/sesamespread/coordination/store_readers.h
@@ -57,6 +57,10 @@
   /// Whether the node is one of the readers of its availability zone.
   bool IsReader(const StoreReaderInput& input) const;
 
+  /// The number of readers of a fleet with \p zone_sizes nodes in its
+  /// availability zones.
+  std::size_t CountReaders(const std::vector<std::size_t>& zone_sizes) const;
+
   /// Whether the node may call the store now.
   bool MayCall(const StoreReaderInput& input) const;
 
--- a/include/sesamespread/state/route_node_settings.h
+++ b/include/sesamespread/state/route_node_settings.h
@@ -64,6 +64,8 @@
   /// Longest time from SIGTERM to the end of the process.
   Duration shutdown_timeout{0};
   RetrySettings retries;
+  /// True at the first start of the whole system.
+  bool bootstrap = false;
   /// Maximum number of concurrent connections of callers.
   std::uint32_t max_connections = 0;
   LogLevel log_level = LogLevel::kInfo;
--- a/include/sesamespread/transport/node_directory.h
+++ b/include/sesamespread/transport/node_directory.h
@@ -62,6 +62,13 @@
   std::vector<state::NodeRecord> Records() const;
 
   std::size_t open_links() const { return linked_nodes_.size(); }
+  /// Which peers ZonePeers returns: all known ones or those with open links.
+  enum class Peers : std::uint8_t { kKnown, kLinked };
+  /// Returns the peers in this node's availability zone.
+  std::vector<state::NodeId> ZonePeers(Peers peers) const;
+  /// Returns the number of known nodes of each availability zone, including
+  /// this one.
+  std::vector<std::size_t> zone_sizes() const;
   /// Returns at most \p count of the peers with open links, chosen at random.
   std::vector<state::NodeId> SampleLinkedNodes(std::size_t count,
                                                std::mt19937_64& random) const;
--- a/lib/coordination/store_readers.cc
+++ b/lib/coordination/store_readers.cc
@@ -14,6 +14,14 @@
   return static_cast<std::size_t>(lower) < options_.readers_per_zone;
 }
 
+std::size_t StoreReaders::CountReaders(
+    const std::vector<std::size_t>& zone_sizes) const {
+  std::size_t readers = 0;
+  for (const std::size_t size : zone_sizes)
+    readers += std::min(size, options_.readers_per_zone);
+  return readers;
+}
+
 bool StoreReaders::MayCall(const StoreReaderInput& input) const {
   if (IsReader(input))
     return true;
--- a/lib/state/route_node_settings.cc
+++ b/lib/state/route_node_settings.cc
@@ -55,6 +55,10 @@
      "Repeats as a share of a service's requests."},
     {"retries.window", kDecimalDuration, kUnits, false, "10s",
      "Time over which the bound holds.", "", 1'000'000, kMaxTimeoutUs},
+    {"bootstrap", kBoolean, "", false, "false",
+     "Whether the whole system starts for the first time, so that nothing of "
+     "an "
+     "earlier run has to be recovered."},
     {"max_connections", kCount, "", false, "2600",
      "Connections of callers at a time.", "", 1, kMaxConnections},
     {"log", kMap, "", false, "", "Log lines on standard output."},
@@ -89,6 +93,7 @@
   settings.shutdown_timeout = reader.DecimalTime("shutdown_timeout");
   settings.retries = {reader.Share("retries.ratio"),
                       reader.DecimalTime("retries.window")};
+  settings.bootstrap = reader.Text("bootstrap") == "true";
   settings.max_connections = reader.Count("max_connections");
   settings.log_level = LevelOf(reader.Text("log.level"));
   return settings;
@@ -146,6 +151,7 @@
      CopyNested<kRetries, &RetrySettings::ratio>},
     {"retries.window", NestedDiffers<kRetries, &RetrySettings::window>,
      nullptr},
+    {"bootstrap", Differs<&Settings::bootstrap>, nullptr},
     {"max_connections", Differs<&Settings::max_connections>, nullptr},
     {"log.level", Differs<&Settings::log_level>, Copy<&Settings::log_level>},
 };
--- a/lib/transport/node_directory.cc
+++ b/lib/transport/node_directory.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
+#include <string_view>
 #include <utility>
 
 #include "sesamespread/state/settings.h"
@@ -186,6 +188,27 @@
   return chosen;
 }
 
+std::vector<state::NodeId> NodeDirectory::ZonePeers(Peers peers) const {
+  std::vector<state::NodeId> nodes;
+  for (const auto& [id, node] : nodes_) {
+    if (node.record.zone == self_.zone &&
+        (peers == Peers::kKnown || linked_nodes_.count(id) > 0))
+      nodes.push_back(id);
+  }
+  return nodes;
+}
+
+std::vector<std::size_t> NodeDirectory::zone_sizes() const {
+  std::map<std::string_view, std::size_t> sizes = {{self_.zone, 1}};
+  for (const auto& [id, node] : nodes_)
+    ++sizes[node.record.zone];
+  std::vector<std::size_t> result;
+  result.reserve(sizes.size());
+  for (const auto& [zone, size] : sizes)
+    result.push_back(size);
+  return result;
+}
+
 std::size_t NodeDirectory::available_servers() const {
   const auto accepts_work = [](const state::NodeRecord& record) {
     return record.backend_state == state::BackendState::kStarting ||
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -24,10 +24,6 @@
 /// records as there are nodes.
 constexpr int kMaxRecordPulls = 2;
 
-/// Links on which the local leaves are requested once the store has supplied
-/// those that it has.
-constexpr int kMaxLeavePulls = 16;
-
 /// Timeout for receiving a caller's request, from its first byte to its last.
 constexpr Duration kReceiveTimeout = seconds(10);
 
@@ -35,10 +31,28 @@
 /// document is likely to require; surplus connections are closed sooner.
 constexpr Duration kCallerIdleTimeout = seconds(90);
 
+/// Time from the first start of the system after which a node without routes
+/// reads them itself, although other nodes watch for them.
+constexpr Duration kBootstrapReaderWait = seconds(5);
+
 constexpr std::size_t kMaxCallerHeaderBytes = 64 << 10;
 
 constexpr std::uint64_t kMaxCallerBodyBytes = 64 << 20;
 
+/// Time from the first start of the system after which a node without routes
+/// reads them itself, although other nodes watch for them.
+constexpr Duration kBootstrapReaderWait = seconds(5);
+
+constexpr std::size_t kMaxCallerHeaderBytes = 64 << 10;
+
+/// A request has to fit into one frame between nodes, with its fields.
+constexpr std::uint64_t kMaxCallerBodyBytes =
+    protocol::kMaxFrameBytes - 4 * kMaxCallerHeaderBytes;
+
+/// Bound on the requests that are being received together, a fifth of the
+/// memory of the smallest hosts.
+constexpr std::size_t kMaxCallerReceivedBytes = 32 << 20;
+
 /// Key of the document in a ConfigurationPush.
 constexpr char kDocumentEntry[] = "document";
 
@@ -69,6 +83,16 @@
   return {self.node, self.incarnation, self.name};
 }
 
+coordination::StoreReaderOptions ReaderOptions(
+    const state::RouteNodeSettings& settings) {
+  coordination::StoreReaderOptions options;
+  // At the first start of the system, no node has routes before the operator
+  // has written them.
+  if (settings.bootstrap)
+    options.start_wait = kBootstrapReaderWait;
+  return options;
+}
+
 EntryRequestHandler::Options EntryOptions(
     const state::RouteNodeSettings& settings,
     const FieldNames& fields,
@@ -154,7 +178,8 @@
                     [this](const std::shared_ptr<HttpExchange>& exchange) {
                       HandleReady(exchange);
                     }),
-      document_watch_({}, seed_) {
+      document_watch_({}, seed_),
+      store_readers_(ReaderOptions(settings)) {
   outbound_.SetInitialMessages(
       [this](state::NodeId) { return InitialMessages(); });
   inbound_.SetInitialMessages([this] { return InitialMessages(); });
@@ -173,10 +198,13 @@
        {"service", settings_.service},
        {"entry", state::ToString(settings_.listen.entry)},
        {"peer", state::ToString(settings_.listen.peer)},
+       {"bootstrap", settings_.bootstrap ? "true" : "false"},
        {"incarnation", state::ToHex(directory_.self().incarnation)}});
   WaitForSignal();
-  ReadOrWatchDocument();
-  ReadNodeTable();
+  if (settings_.bootstrap)
+    WriteOwnNodeRow({});
+  else
+    ReadNodeTable();
   RecoverLeaves();
   StartHealthCheck();
   Tick();
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -24,6 +24,7 @@
 #include "sesamespread/coordination/leave_durability.h"
 #include "sesamespread/coordination/route_table.h"
 #include "sesamespread/coordination/routing.h"
+#include "sesamespread/coordination/store_readers.h"
 #include "sesamespread/coordination/table_watch.h"
 #include "sesamespread/coordination/version_sources.h"
 #include "sesamespread/transport/backend_executor.h"
@@ -42,6 +43,10 @@
 
 namespace sesamespread::transport {
 
+/// Links on which the local leaves are requested once the store has supplied
+/// those that it has.
+constexpr int kMaxLeavePulls = 16;
+
 /// An answer of one of the node's own ports.
 HttpResponse JsonResponse(std::uint16_t status, std::string body);
 
@@ -81,17 +86,25 @@
   void PullRoutes();
 
   // The operator's document. `source` is "store" or "peer", for the log.
+  // Calls the store for it if that is this node's duty; called by each tick.
   void ReadOrWatchDocument();
+  coordination::StoreReaderInput MakeStoreReaderInput(state::Instant now) const;
   void OnDocumentRows(const coordination::RowsReply& reply);
   void ApplyDocument(const std::string& document, std::string_view source);
   // Notifies some random peers of the version in force.
   void AnnounceVersion();
+  // Notifies one random peer from time to time; called by each tick.
+  void RepeatAnnouncement(state::Instant now);
+  void SendVersionNotice(state::NodeId node);
   std::uint64_t version() const { return routes_ ? routes_->version : 0; }
 
   // The table of nodes.
   void ReadNodeTable();
   void OnNodeRows(const coordination::RowsReply& reply);
   void ScheduleNodeTableRead(state::Duration pause);
+  state::Duration NodeTableInterval() const;
+  // Writes this node's row, removes the rows \p replaced and reads the table.
+  void WriteOwnNodeRow(const std::vector<std::string>& replaced);
   // Adds the nodes in \p reply to the directory. *replaced gets the keys of
   // rows of other nodes with this node's address. \returns true if this node's
   // own row is correct.
@@ -173,6 +186,11 @@
   HttpServer ready_server_;
 
   coordination::TableWatch document_watch_;
+  const coordination::StoreReaders store_readers_;
+  bool is_store_reader_ = false;
+  // True while a call for the document is in progress.
+  bool document_call_pending_ = false;
+  state::Instant last_announcement_{};
   std::shared_ptr<const state::RouteSet> routes_;
   // The text of routes_, sent to peers that pull it.
   std::string document_;
@@ -205,8 +223,8 @@
   state::Duration leave_table_retry_delay_{0};
   // Local leaves from before this process started are read from the store,
   // which may lack the latest one, and requested from peers, some of which may
-  // have restarted themselves. After kLeaveStateTimeout the node continues with what it
-  // has received.
+  // have restarted themselves. After kLeaveStateTimeout the node continues with
+  // what it has received.
   bool leaves_read_from_store_ = false;
   bool leave_received_from_peer_ = false;
   // Links on which the local leaves were requested.
@@ -222,6 +240,9 @@
   state::Instant next_health_check_{};
 
   const state::Instant started_at_ = Now();
+  // When the last call for the document was made; initially the start of this
+  // process.
+  state::Instant last_document_call_ = started_at_;
   // When the last successful call for the document ended; initially the start
   // of this process.
   state::Instant last_store_answer_ = started_at_;
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -48,6 +48,8 @@
   CheckBackend(now);
   CheckShutdown(now);
   PullRoutes();
+  ReadOrWatchDocument();
+  RepeatAnnouncement(now);
   if (now - last_settings_check_ >= kSettingsCheckInterval) {
     last_settings_check_ = now;
     if (settings_file_.HasChanged())
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -8,6 +8,7 @@
 #include <bit>
 #include <charconv>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "sesamespread/protocol/codec.h"
@@ -26,14 +27,30 @@
 /// link.
 constexpr Duration kNodeTableInterval = seconds(30);
 
+/// The same for a node that is no reader of the store, multiplied by the number
+/// of nodes. It finds nodes that were forgotten after a partition of a minute.
+constexpr Duration kNodeTableIntervalPerNode = seconds(1);
+
 /// Delay after a failed read of the table of nodes, doubled for each further
 /// failure up to the maximum.
 constexpr Duration kMinTableRetryDelay = milliseconds(250);
 
 constexpr Duration kMaxTableRetryDelay = seconds(2);
 
-/// Returns the number of random peers that a node notifies of a new version of
-/// the routes, which reaches nodes whose watch of the store has gone silent. If
+/// Time after the start in which a node knows its peers from the table of nodes
+/// rather than by their links.
+constexpr Duration kLinkOpeningTime = milliseconds(500);
+
+/// Interval at which a node tells a random peer the version of its routes, so
+/// that a peer that missed an announcement learns of the version.
+constexpr Duration kAnnouncementInterval = seconds(1);
+
+/// Peers in any availability zone that are notified of a new version, in
+/// addition to those in the own one.
+constexpr std::size_t kAnnouncementsToAllZones = 2;
+
+/// Returns the number of random peers in its availability zone that a node
+/// notifies of a new version of the routes, which most nodes learn this way. If
 /// each of n nodes notifies log2(n) + 2 others, the probability that a node is
 /// notified by none is less than 1 / (e^2 n).
 std::size_t AnnouncementFanout(std::size_t nodes) {
@@ -69,17 +86,49 @@
 
 // --- The operator's document
 
+coordination::StoreReaderInput RouteNode::Impl::MakeStoreReaderInput(
+    Instant now) const {
+  coordination::StoreReaderInput input;
+  input.self = directory_.self().node;
+  input.uptime = now - started_at_;
+  // Shortly after the start, links to live nodes are still being opened.
+  const bool has_started = input.uptime >= kLinkOpeningTime;
+  input.zone_peers =
+      directory_.ZonePeers(has_started ? NodeDirectory::Peers::kLinked
+                                       : NodeDirectory::Peers::kKnown);
+  input.known_nodes = directory_.known_nodes();
+  input.has_routes = routes_ != nullptr;
+  input.since_last_call = now - last_document_call_;
+  return input;
+}
+
 void RouteNode::Impl::ReadOrWatchDocument() {
-  const coordination::TableCall call =
-      document_watch_.NextCall(directory_.known_nodes() + 1);
-  if (call.at > Now()) {
-    deadlines_.Schedule(call.at, [this] { ReadOrWatchDocument(); });
+  const Instant now = Now();
+  // Before the table of nodes is known, each node would take itself for a
+  // reader.
+  const bool knows_peers =
+      node_table_read_ || now - started_at_ >= kLinkOpeningTime;
+  if (document_call_pending_ || !knows_peers)
     return;
+  const coordination::StoreReaderInput input = MakeStoreReaderInput(now);
+  const bool is_reader = store_readers_.IsReader(input);
+  if (std::exchange(is_store_reader_, is_reader) != is_reader) {
+    Log(LogLevel::kInfo, "store_reader_changed",
+        {{"reader", is_reader ? "true" : "false"},
+         {"zone_peers", std::to_string(input.zone_peers.size())}});
   }
+  if (!store_readers_.MayCall(input))
+    return;
+  const coordination::TableCall call = document_watch_.NextCall(
+      store_readers_.CountReaders(directory_.zone_sizes()));
+  if (call.at > now)
+    return;
+  document_call_pending_ = true;
+  last_document_call_ = now;
   const auto done = [this](const coordination::RowsReply& reply) {
     OnDocumentRows(reply);
   };
-  if (call.is_read)
+  if (call.is_read || !is_reader)
     store_->Read(interface_.document_table, {}, done);
   else
     store_->Watch(interface_.document_table, call.after, call.wait, done);
@@ -87,6 +136,7 @@
 
 void RouteNode::Impl::OnDocumentRows(const coordination::RowsReply& reply) {
   const Instant now = Now();
+  document_call_pending_ = false;
   if (reply.status == coordination::StoreStatus::kDone)
     last_store_answer_ = now;
   if (document_watch_.OnReply(reply, now)) {
@@ -129,10 +179,33 @@
 }
 
 void RouteNode::Impl::AnnounceVersion() {
-  const protocol::VersionNotice notice{directory_.self().node, version()};
-  const std::size_t count = AnnouncementFanout(directory_.known_nodes());
-  for (const state::NodeId node : directory_.SampleLinkedNodes(count, random_))
-    outbound_.SendControl(node, directory_.EndpointOf(node), notice);
+  // Mostly in this availability zone: traffic between zones is charged for, and
+  // each zone has readers of its own.
+  std::vector<state::NodeId> zone_peers =
+      directory_.ZonePeers(NodeDirectory::Peers::kLinked);
+  std::vector<state::NodeId> receivers;
+  std::sample(zone_peers.begin(), zone_peers.end(),
+              std::back_inserter(receivers),
+              AnnouncementFanout(zone_peers.size() + 1), random_);
+  for (const state::NodeId node :
+       directory_.SampleLinkedNodes(kAnnouncementsToAllZones, random_))
+    receivers.push_back(node);
+  for (const state::NodeId node : receivers)
+    SendVersionNotice(node);
+}
+
+void RouteNode::Impl::SendVersionNotice(state::NodeId node) {
+  outbound_.SendControl(
+      node, directory_.EndpointOf(node),
+      protocol::VersionNotice{directory_.self().node, version()});
+}
+
+void RouteNode::Impl::RepeatAnnouncement(Instant now) {
+  if (!routes_ || now - last_announcement_ < kAnnouncementInterval)
+    return;
+  last_announcement_ = now;
+  for (const state::NodeId node : directory_.SampleLinkedNodes(1, random_))
+    SendVersionNotice(node);
 }
 
 // --- The table of nodes
@@ -182,9 +255,14 @@
   // Keys of rows of other nodes that had this node's address before.
   std::vector<std::string> replaced;
   if (AddNodes(reply, &replaced) && replaced.empty()) {
-    ScheduleNodeTableRead(kNodeTableInterval);
+    ScheduleNodeTableRead(NodeTableInterval());
     return;
   }
+  WriteOwnNodeRow(replaced);
+}
+
+void RouteNode::Impl::WriteOwnNodeRow(
+    const std::vector<std::string>& replaced) {
   // This node's row is written before the table is read again, so that of two
   // nodes that start at the same time at least one finds the other.
   const std::string frame = protocol::EncodeFrame(
@@ -200,9 +278,24 @@
   deadlines_.Schedule(Now() + pause, [this] { ReadNodeTable(); });
 }
 
+Duration RouteNode::Impl::NodeTableInterval() const {
+  if (is_store_reader_ || directory_.open_links() == 0)
+    return kNodeTableInterval;
+  return std::max(kNodeTableInterval,
+                  kNodeTableIntervalPerNode *
+                      static_cast<std::int64_t>(directory_.known_nodes()));
+}
+
 // --- Backend servers that have left
 
 void RouteNode::Impl::RecoverLeaves() {
+  if (settings_.bootstrap) {
+    // No server can have left before the first start of the system.
+    leave_wait_expired_ = true;
+    leaves_read_from_store_ = true;
+    leave_pulls_sent_ = kMaxLeavePulls;
+    return;
+  }
   ReadLeaveTable();
   // If the store does not answer, the leaves come from the other nodes, which
   // are expected to have reconnected and sent them within the timeout.
--- a/unittests/coordination/store_readers_test.cc
+++ b/unittests/coordination/store_readers_test.cc
@@ -52,6 +52,10 @@
   EXPECT_EQ(ReadersOf(MakeZone(1)).size(), 1U);
 }
 
+TEST(StoreReadersTest, CountsTheReadersOfAllZones) {
+  EXPECT_EQ(StoreReaders().CountReaders({33, 32, 1}), 5U);
+}
+
 // Guards against a zone without readers after all of its readers died.
 TEST(StoreReadersTest, OthersTakeOverOnceTheLinksToTheReadersAreLost) {
   std::vector<state::NodeId> live = MakeZone(33);
