Bound the bodies that are received together

Cause: a body was bounded by 64 MB on each connection only, so that two servers or callers that send without end exhausted a host of 160 MB; a request of more than 8 MB closed the link to the other node, with all calls on it. Change: the client gives up the answer with the largest body once all together exceed 32 MB, and the server refuses the largest request as not run; one answer has at most 16 MB, one request must fit into a frame between nodes. Result: HttpClientTest.LimitsTheSumOfBodies and HttpServerTest.LimitsTheSumOfBodies fail without the bound and pass.

--- a/include/sesamespread/transport/http_client.h
+++ b/include/sesamespread/transport/http_client.h
@@ -23,6 +23,9 @@
   std::size_t max_connections_per_endpoint = 160;
   std::size_t max_header_bytes = 32 << 10;
   std::uint64_t max_body_bytes = 16 << 20;
+  /// Largest sum of the bodies of all answers that are being received. If it is
+  /// exceeded, the call with the largest body ends with kTooLarge.
+  std::size_t max_received_bytes = 64 << 20;
   state::Duration connect_timeout = std::chrono::seconds(1);
   /// Connections that have been idle for this long are closed.
   state::Duration idle_timeout = std::chrono::seconds(30);
--- a/include/sesamespread/transport/http_server.h
+++ b/include/sesamespread/transport/http_server.h
@@ -24,6 +24,9 @@
   std::size_t max_connections = 2048;
   std::size_t max_header_bytes = 16 << 10;
   std::uint64_t max_body_bytes = 1 << 20;
+  /// Largest sum of the bodies of all requests that are being received. If it
+  /// is exceeded, the request with the largest body is refused with kNodeBusy.
+  std::size_t max_received_bytes = 64 << 20;
   /// Longest time from the first byte of a request to its last.
   state::Duration receive_timeout = std::chrono::seconds(10);
   /// Longest time without progress while an answer is written.
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -46,7 +46,13 @@
 constexpr Duration kUnreachableBackoff = std::chrono::milliseconds(150);
 
 constexpr std::size_t kMaxAnswerHeaderBytes = 64 << 10;
-constexpr std::uint64_t kMaxAnswerBytes = 64 << 20;
+constexpr std::uint64_t kMaxAnswerBytes = 16 << 20;
+
+/// Bound on the answers that are being received together, so that a backend
+/// server that sends bytes without end does not exhaust the memory of a host of
+/// 160 MB.
+constexpr std::size_t kMaxReceivedBytes = 32 << 20;
+
 constexpr std::size_t kMaxConnections = 4096;
 
 constexpr std::uint16_t kMisdirectedStatus = 421;
@@ -57,6 +63,7 @@
   options.max_connections_per_endpoint = kMaxConnections;
   options.max_header_bytes = kMaxAnswerHeaderBytes;
   options.max_body_bytes = kMaxAnswerBytes;
+  options.max_received_bytes = kMaxReceivedBytes;
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = kIdleTimeout;
   options.request_id_field = fields.request_id;
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -22,7 +22,7 @@
 using state::RunState;
 
 /// Largest answer accepted from another node.
-constexpr std::uint64_t kMaxAnswerBytes = 64 << 20;
+constexpr std::uint64_t kMaxAnswerBytes = 16 << 20;
 
 /// Share of the time to the latency objective that a request may wait in the
 /// queue of a server in the first pass, while other servers may have free
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "body_budget.h"
 #include "http_wire.h"
 #include "sesamespread/transport/clock.h"
 
@@ -79,6 +80,7 @@
   Impl(boost::asio::io_context& context, const HttpClientOptions& options)
       : context_(context),
         options_(options),
+        bodies_(options.max_received_bytes),
         deadline_timer_(context),
         idle_timer_(context) {}
 
@@ -123,6 +125,7 @@
 
   boost::asio::io_context& context_;
   const HttpClientOptions options_;
+  BodyBudget<Connection> bodies_;
   /// Pools are never removed; connections and calls point to them.
   std::map<state::Endpoint, Pool> pools_;
   std::unordered_map<Handle, std::unique_ptr<Call>> calls_;
@@ -243,6 +246,7 @@
   /// Ends the association with the call; the connection is idle afterwards.
   void DetachFromCall() {
     call_ = nullptr;
+    client_->bodies_.Remove(this);
     idle_since_ = Now();
     parser_.reset();
     body_ = std::string();
@@ -251,6 +255,7 @@
   void Close() {
     closed_ = true;
     call_ = nullptr;
+    client_->bodies_.Remove(this);
     error_code error;
     socket_.close(error);
   }
@@ -384,7 +389,7 @@
             parser_->is_header_done() && parser_->need_eof())
           Fail(HttpOutcomeKind::kTruncated);
         else
-          AwaitReadable();
+          LimitBodies();
         return;
       case wire::ParseStatus::kMalformed:
         Fail(HttpOutcomeKind::kMalformed);
@@ -396,6 +401,16 @@
     }
   }
 
+  /// Continues to receive, unless the bodies of all connections together have
+  /// become too large.
+  void LimitBodies() {
+    Connection* const largest =
+        client_->bodies_.Update(this, parser_->message().body.size());
+    AwaitReadable();
+    if (largest)
+      largest->Fail(HttpOutcomeKind::kTooLarge);
+  }
+
   void Complete() {
     const bool reusable = parser_->keep_alive() && is_written() &&
                           !received_unmatched_answer_ &&
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "body_budget.h"
 #include "http_wire.h"
 #include "sesamespread/protocol/http_fields.h"
 #include "sesamespread/transport/acceptor.h"
@@ -111,6 +112,7 @@
         accept_timer_(context),
         sweep_timer_(context),
         options_(options),
+        bodies_(options.max_received_bytes),
         handler_(std::move(handler)) {}
 
   void Listen(const state::Endpoint& endpoint);
@@ -140,6 +142,7 @@
   boost::asio::steady_timer accept_timer_;
   boost::asio::steady_timer sweep_timer_;
   const HttpServerOptions options_;
+  BodyBudget<Connection> bodies_;
   Handler handler_;
   std::uint16_t port_ = 0;
   /// Includes the `refused_count_` connections over the limit.
@@ -210,6 +213,7 @@
     if (phase_ == Phase::kClosed)
       return;
     phase_ = Phase::kClosed;
+    server_->bodies_.Remove(this);
     error_code error;
     socket_.close(error);
     const std::function<void()> dropped = std::move(on_abandoned_);
@@ -350,6 +354,7 @@
     parsed_ += consumed;
     if (status == wire::ParseStatus::kNeedMore) {
       SendContinueIfExpected();
+      LimitBodies();
       return;
     }
     if (status != wire::ParseStatus::kDone) {
@@ -359,6 +364,19 @@
     DispatchRequest();
   }
 
+  /// Refuses the largest request if the bodies of all connections together have
+  /// become too large.
+  void LimitBodies() {
+    if (phase_ != Phase::kReceiving)
+      return;
+    Connection* const largest =
+        server_->bodies_.Update(this, parser_->message().body.size());
+    if (largest) {
+      largest->SendProblem(state::ResultCode::kNodeBusy,
+                           "too many bytes of requests are being received");
+    }
+  }
+
   /// Sends "100 Continue" if the caller waits for it before it sends the body.
   void SendContinueIfExpected() {
     if (continue_sent_ || !parser_->is_header_done() ||
@@ -385,6 +403,7 @@
   }
 
   void SendAnswer(HttpResponse response) {
+    DiscardReceivedBody();
     close_after_answer_ = close_after_answer_ || server_->stopping_ ||
                           server_->draining_ || HasConnectionClose(response);
     const bool no_content = response.status == 204 || response.status == 304;
@@ -461,6 +480,13 @@
     StartRead();
   }
 
+  /// Frees the body of a request that is answered before it is complete.
+  void DiscardReceivedBody() {
+    server_->bodies_.Remove(this);
+    if (parser_)
+      parser_->message().body = std::string();
+  }
+
   const std::shared_ptr<Impl> server_;
   tcp::socket socket_;
   Phase phase_ = Phase::kIdle;
@@ -532,6 +558,7 @@
 
 void HttpServer::Impl::Connection::DispatchRequest() {
   phase_ = Phase::kHandling;
+  server_->bodies_.Remove(this);
   deadline_ = kNoDeadline;
   ++exchange_number_;
   close_after_answer_ = !parser_->keep_alive();
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "sesamespread/coordination/membership.h"
+#include "sesamespread/protocol/codec.h"
 #include "sesamespread/transport/clock.h"
 
 namespace sesamespread::transport {
@@ -37,14 +38,6 @@
 
 constexpr std::size_t kMaxCallerHeaderBytes = 64 << 10;
 
-constexpr std::uint64_t kMaxCallerBodyBytes = 64 << 20;
-
-/// Time from the first start of the system after which a node without routes
-/// reads them itself, although other nodes watch for them.
-constexpr Duration kBootstrapReaderWait = seconds(5);
-
-constexpr std::size_t kMaxCallerHeaderBytes = 64 << 10;
-
 /// A request has to fit into one frame between nodes, with its fields.
 constexpr std::uint64_t kMaxCallerBodyBytes =
     protocol::kMaxFrameBytes - 4 * kMaxCallerHeaderBytes;
@@ -61,6 +54,7 @@
   options.max_connections = max_connections;
   options.max_header_bytes = kMaxCallerHeaderBytes;
   options.max_body_bytes = kMaxCallerBodyBytes;
+  options.max_received_bytes = kMaxCallerReceivedBytes;
   options.receive_timeout = kReceiveTimeout;
   options.idle_timeout = kCallerIdleTimeout;
   return options;
--- a/unittests/transport/http_client_test.cc
+++ b/unittests/transport/http_client_test.cc
@@ -152,6 +152,32 @@
 }
 
 // A server that does not answer must not keep a call open beyond its deadline.
+// Guards against servers that send bodies without end on several connections
+// and together exhaust the memory, each within the limit of one body.
+TEST_F(HttpClientTest, LimitsTheSumOfBodies) {
+  HttpClientOptions options;
+  options.max_body_bytes = 1 << 20;
+  options.max_received_bytes = 600 << 10;
+  client_.emplace(context_, options);
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "19000\r\n" + std::string(100 << 10, 'x') + "\r\n";
+  const std::size_t small = Send("/small");
+  RawPeer small_peer(context_);
+  ASSERT_TRUE(small_peer.Accept(acceptor_));
+  small_peer.Send(head + chunk);
+  const std::size_t endless = Send("/endless");
+  RawPeer endless_peer(context_);
+  ASSERT_TRUE(endless_peer.Accept(acceptor_));
+  endless_peer.Send(head);
+  for (int i = 0; i < 9 && !outcomes_[endless]; ++i)
+    endless_peer.Send(chunk);
+  EXPECT_EQ(Outcome(endless).kind, HttpOutcomeKind::kTooLarge);
+  EXPECT_FALSE(outcomes_[small].has_value());
+  small_peer.Send("0\r\n\r\n");
+  EXPECT_EQ(Outcome(small).kind, HttpOutcomeKind::kAnswered);
+}
+
 TEST_F(HttpClientTest, EndsAtTheDeadline) {
   const std::size_t sent = Send("/a", std::chrono::milliseconds(30));
   RawPeer peer(context_);
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -193,6 +193,28 @@
   EXPECT_TRUE(requests_.empty());
 }
 
+// Guards against callers that together exhaust the memory, each with a body
+// within the limit. The largest one is refused, and its request has not run.
+TEST_F(HttpServerTest, LimitsTheSumOfBodies) {
+  HttpServerOptions options;
+  options.max_body_bytes = 1 << 20;
+  options.max_received_bytes = 600 << 10;
+  Start(options);
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 614400\r\n\r\n";
+  RawPeer small = Connect();
+  small.Send(head + std::string(100 << 10, 'a'));
+  RawPeer large = Connect();
+  large.Send(head + std::string(570 << 10, 'a'));
+  ASSERT_TRUE(large.Expect("Connection: close"));
+  ExpectProblemIn(large.received(), 503,
+                  static_cast<int>(state::ResultCode::kNodeBusy));
+  EXPECT_NE(large.received().find("Retry-After"), std::string::npos);
+  EXPECT_TRUE(requests_.empty());
+  small.Send(std::string(500 << 10, 'a'));
+  EXPECT_TRUE(small.Expect("HTTP/1.1 200"));
+}
+
 TEST_F(HttpServerTest, AcceptsAChunkedBodyAndDropsTrailers) {
   Start();
   RawPeer peer = Connect();
