Take no answer without id on a reused connection for that of the request

Cause: an answer without the id of its request was accepted. A late copy of an earlier refusal that lacks the id made the node report the current request as not run, or send an order to a server a second time, while it ran. Change: such an answer on a reused connection fails the call as one that may have run, and the connection is closed.

--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -117,7 +117,7 @@
   void OnOutcome(Handle handle, HttpOutcome outcome);
   protocol::CallAnswer AnswerOf(const Call& call, HttpOutcome& outcome);
   protocol::CallAnswer AnswerOfResponse(const Call& call,
-                                        HttpResponse& response);
+                                        HttpOutcome& outcome);
   void OnUnreachable();
   void Apply(const coordination::QueueActions& actions);
   void PostRefusal(Handle handle, state::ResultCode code);
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -263,7 +263,7 @@
   switch (outcome.kind) {
     case HttpOutcomeKind::kAnswered:
       last_answer_ = Now();
-      return AnswerOfResponse(call, outcome.response);
+      return AnswerOfResponse(call, outcome);
     case HttpOutcomeKind::kConnectFailed:
       OnUnreachable();
       return failed(ResultCode::kConnectFailed, RunState::kNotRun,
@@ -293,8 +293,17 @@
 }
 
 protocol::CallAnswer BackendExecutor::AnswerOfResponse(const Call& call,
-                                                       HttpResponse& response) {
+                                                       HttpOutcome& outcome) {
+  HttpResponse& response = outcome.response;
   const auto& headers = response.headers;
+  const bool has_id = !FieldOf(headers, fields_.request_id).empty();
+  if (!has_id && outcome.reused_connection) {
+    // Backend servers echo the id, so this may be a late copy of the answer to
+    // an earlier request. Not even its refusal says anything about this one.
+    return FailedAnswer(call.request, ResultCode::kBadBackendAnswer,
+                        RunState::kUnknown,
+                        "an answer without id on a reused connection");
+  }
   if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load)))
     queue_.OnReportedLoad(load->running + load->waiting);
   const bool misdirected = response.status == kMisdirectedStatus;
@@ -307,7 +316,6 @@
   }
   const bool success = response.status < kFirstErrorStatus;
   const bool has_seal = !FieldOf(headers, fields_.seal).empty();
-  const bool has_id = !FieldOf(headers, fields_.request_id).empty();
   // Backend servers answer without content encoding, so an encoded body was not
   // sent by the backend server.
   const bool encoded = !FieldOf(headers, "Content-Encoding").empty();
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -352,6 +352,16 @@
     return expected.empty() || id.empty() || id == expected;
   }
 
+  /// True if the server echoes ids and the parsed answer has none. On a reused
+  /// connection it may belong to an earlier request, and the answer to the
+  /// current one may follow.
+  bool LacksId() {
+    const std::string& field = client_->options_.request_id_field;
+    return !field.empty() && call_->reused_connection &&
+           !FieldOf(call_->request.headers, field).empty() &&
+           FieldOf(parser_->message().headers, field).empty();
+  }
+
   wire::ParseStatus Feed() {
     const auto data = buffer_.data();
     const std::string_view bytes(static_cast<const char*>(data.data()),
@@ -413,7 +423,7 @@
 
   void Complete() {
     const bool reusable = parser_->keep_alive() && is_written() &&
-                          !received_unmatched_answer_ &&
+                          !received_unmatched_answer_ && !LacksId() &&
                           parsed_ == buffer_.size();
     idle_limit_ = wire::KeepAliveIdleLimit(parser_->message().headers);
     HttpOutcome outcome;
