Keep links to a bounded number of nodes of other zones

Cause: each node linked to each other one. Change: coordination/link_selection selects all nodes of the own zone and, for each service, two servers of each other zone by rendezvous hashing; after three failed attempts another one is selected in addition. A node asks for routes on the link on which it heard of them.

--- a/include/sesamespread/transport/node_directory.h
+++ b/include/sesamespread/transport/node_directory.h
@@ -20,10 +20,10 @@
 
 namespace sesamespread::transport {
 
-/// Maintains a link to each peer and passes the servers that can be called to
-/// the router. The router gets a server only while the link to its node is
-/// open, so that no request waits for a connection to a host that does not
-/// answer.
+/// Maintains links to the peers that coordination::SelectLinks selects, and
+/// passes the servers that can be called to the router. The router gets a
+/// server only while the link to its node is open, so that no request waits for
+/// a connection to a host that does not answer.
 class NodeDirectory {
  public:
   NodeDirectory(state::NodeRecord self,
@@ -51,8 +51,9 @@
                     bool is_open,
                     const std::string& reason);
 
-  /// Connects to the peers without an open link whose next attempt is due, and
-  /// removes peers after the last attempt. To be called several times a second.
+  /// Connects to the selected peers without an open link whose next attempt is
+  /// due, and removes peers after the last attempt. To be called several times
+  /// a second.
   void OpenMissingLinks(state::Instant now);
 
   /// Returns the peer port of \p node, or a default Endpoint if it is unknown.
@@ -62,6 +63,9 @@
   std::vector<state::NodeRecord> Records() const;
 
   std::size_t open_links() const { return linked_nodes_.size(); }
+  bool is_linked(state::NodeId node) const {
+    return linked_nodes_.count(node) > 0;
+  }
   /// Which peers ZonePeers returns: all known ones or those with open links.
   enum class Peers : std::uint8_t { kKnown, kLinked };
   /// Returns the peers in this node's availability zone.
@@ -90,6 +94,9 @@
 
   void StoreRecord(const state::NodeRecord& record);
   void OpenLink(const state::NodeRecord& record);
+  // Selects the peers to link to, after a change of the records or of the peers
+  // that can be reached.
+  void SelectLinks();
   void UpdateRouter(const std::string& service);
 
   state::NodeRecord self_;
@@ -98,6 +105,9 @@
   EventLog& log_;
   std::unordered_map<state::NodeId, Node> nodes_;
   std::set<state::NodeId> linked_nodes_;
+  // The peers to which links are kept; valid if !is_selection_outdated_.
+  std::set<state::NodeId> selected_nodes_;
+  bool is_selection_outdated_ = true;
 };
 
 }  // namespace sesamespread::transport
--- a/lib/transport/node_directory.cc
+++ b/lib/transport/node_directory.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "sesamespread/coordination/link_selection.h"
 #include "sesamespread/state/settings.h"
 
 namespace sesamespread::transport {
@@ -23,6 +24,10 @@
 /// minute.
 constexpr unsigned kMaxConnectAttempts = 40;
 
+/// After this many failed attempts, another server of the same service and zone
+/// is selected in addition.
+constexpr unsigned kMaxAttemptsOfCandidate = 3;
+
 }  // namespace
 
 NodeDirectory::NodeDirectory(state::NodeRecord self,
@@ -97,12 +102,11 @@
   }
   Node& node = nodes_[record.node];
   const state::NodeRecord old = std::exchange(node.record, record);
-  if (old.peer != record.peer) {
+  if (old.peer != record.peer)
     node.connect_attempts = 0;
-    // Opened here and not with the first message to the node, because that link
-    // would be neither compressed nor checked while it is idle.
-    OpenLink(record);
-  }
+  is_selection_outdated_ = is_selection_outdated_ || old.peer != record.peer ||
+                           old.zone != record.zone ||
+                           old.service != record.service;
   if (old.service != record.service ||
       old.backend_state != record.backend_state) {
     log_.Write(ThreadRole::kData, LogLevel::kInfo, "server_changed",
@@ -124,8 +128,15 @@
   if (found == nodes_.end())
     return;
   Node& node = found->second;
+  if (node.connect_attempts >= kMaxAttemptsOfCandidate)
+    is_selection_outdated_ = true;
   node.connect_attempts = 0;
   node.next_attempt = {};
+  if (is_open) {
+    // The link may have been opened by a message to the node. From here on, it
+    // is kept, and checked while it is idle.
+    OpenLink(node.record);
+  }
   const bool changed =
       is_open ? linked_nodes_.insert(id).second : linked_nodes_.erase(id) > 0;
   if (!changed)
@@ -139,11 +150,15 @@
 }
 
 void NodeDirectory::OpenMissingLinks(state::Instant now) {
+  SelectLinks();
   std::vector<state::NodeId> unreachable;
   for (auto& [id, node] : nodes_) {
-    if (linked_nodes_.count(id) > 0 || now < node.next_attempt)
+    if (selected_nodes_.count(id) == 0 || linked_nodes_.count(id) > 0 ||
+        now < node.next_attempt)
       continue;
-    if (++node.connect_attempts > kMaxConnectAttempts) {
+    if (++node.connect_attempts == kMaxAttemptsOfCandidate)
+      is_selection_outdated_ = true;
+    if (node.connect_attempts > kMaxConnectAttempts) {
       unreachable.push_back(id);
       continue;
     }
@@ -157,10 +172,29 @@
                {{"peer", nodes_.at(id).record.name},
                 {"attempts", std::to_string(kMaxConnectAttempts)}});
     nodes_.erase(id);
+    is_selection_outdated_ = true;
     outbound_.RemoveNode(id);
   }
 }
 
+void NodeDirectory::SelectLinks() {
+  if (!std::exchange(is_selection_outdated_, false))
+    return;
+  std::vector<coordination::LinkCandidate> candidates;
+  selected_nodes_.clear();
+  for (const auto& [id, node] : nodes_) {
+    // Attempts to reach a node go on, but it does not count as a candidate.
+    if (node.connect_attempts >= kMaxAttemptsOfCandidate &&
+        linked_nodes_.count(id) == 0)
+      selected_nodes_.insert(id);
+    else
+      candidates.push_back({id, node.record.zone, node.record.service});
+  }
+  for (const state::NodeId id : coordination::SelectLinks(
+           {self_.node, self_.zone, self_.service}, candidates))
+    selected_nodes_.insert(id);
+}
+
 void NodeDirectory::OpenLink(const state::NodeRecord& record) {
   // Links between zones are compressed: traffic between zones costs more than
   // the CPU time.
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -124,6 +124,8 @@
   PeerSession& session = SessionOf(node, endpoint);
   session.is_persistent = true;
   session.is_compressed = compress;
+  if (compress && session.link)
+    session.link->EnableCompression();
   Connect(node);
 }
 
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -327,6 +327,8 @@
   }
   if (const auto* notice = std::get_if<protocol::VersionNotice>(&message)) {
     OnPeerRoutesVersion(notice->node, notice->version);
+    if (notice->version > version() && !directory_.is_linked(notice->node))
+      reply(protocol::ConfigurationPull{version()});
     return;
   }
   if (const auto* pull = std::get_if<protocol::BackendLeftPull>(&message)) {
@@ -369,6 +371,9 @@
                                           std::uint64_t seen) {
   if (seen <= version())
     return;
+  // A node without a link is asked on the link on which it sent its version.
+  if (!directory_.is_linked(node))
+    return;
   version_sources_.OnVersionSeen(node, seen);
   PullRoutes();
 }
