Rank retries by the calls that a run has left

Cause: while all servers of a deep service refuse half of their arrivals, the retry budget completes few runs: it was spent alike on runs that lack one call and on those that have just started and fail later, and the ranks of all calls lay in a small part of the token bucket, whose fluctuations mixed them. Change: the rank of a call's retry shrinks with the share of the calls of its run that are left, by the number that successful runs of the route made; the ranks in use are spread over the whole bucket.

--- a/include/sesamespread/coordination/shared_retry_budget.h
+++ b/include/sesamespread/coordination/shared_retry_budget.h
@@ -68,10 +68,13 @@
 /// calls began, \p root_hash a hash of the id of the request that it began
 /// with. Requests of callers have the lowest ranks: one retry completes them,
 /// while a call helps its request only if each of its siblings succeeds as
-/// well.
+/// well. \p remaining_share is the share of the calls of its run, from 0 to 1,
+/// that are not answered yet: the fewer are left, the fewer retries complete
+/// the run, and the more work would be lost.
 double RetryRank(bool from_backend,
                  std::uint32_t priority,
-                 std::uint64_t root_hash);
+                 std::uint64_t root_hash,
+                 double remaining_share);
 
 /// Counts requests and retries by service, and grants retries from a token
 /// bucket for each service.
--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -89,6 +89,11 @@
       std::string_view parent_id,
       const std::vector<coordination::ReportedThreshold>& points);
 
+  /// The share of the calls of the running request \p parent_id, from 0 to 1,
+  /// that are not answered yet, by the number that complete runs of its route
+  /// made; 1 if there is no such request.
+  double RemainingCallShare(std::string_view parent_id) const;
+
   coordination::QueueLoad load() const { return queue_.load(); }
 
   /// The admission threshold: calls with a lower priority value are admitted.
@@ -148,6 +153,8 @@
   // Overload of downstream services, as reported in the answers to the calls
   // that the requests of each route make.
   coordination::RouteThresholds downstream_pressure_;
+  // Average number of calls that a successful run makes, by route.
+  std::unordered_map<std::string, double> calls_of_runs_;
   std::unordered_map<Handle, Call> calls_;
   // Calls in progress by the id of their request.
   std::unordered_map<std::string, Handle> running_;
--- a/lib/coordination/shared_retry_budget.cc
+++ b/lib/coordination/shared_retry_budget.cc
@@ -11,7 +11,12 @@
 namespace {
 
 /// Ranks of callers' requests lie below this, those of calls above it.
-constexpr double kMinCallRank = 0.2;
+constexpr double kMinCallRank = 0.1;
+
+/// Priorities of routes that get ranks of their own; less important ones share
+/// the last rank. The more of the token bucket lies between two requests, the
+/// less its fluctuations mix their ranks.
+constexpr double kRankedPriorities = 3 * state::kPrioritiesPerImportance;
 
 /// Upper bound of ranks. Below 1, so that the last rank does not need a full
 /// token bucket.
@@ -21,12 +26,14 @@
 
 double RetryRank(bool from_backend,
                  std::uint32_t priority,
-                 std::uint64_t root_hash) {
+                 std::uint64_t root_hash,
+                 double remaining_share) {
   const double position =
-      static_cast<double>(EntryPriority(priority, root_hash)) /
-      state::kPriorityCount;
-  return from_backend ? kMinCallRank + position * (kRankLimit - kMinCallRank)
-                      : position * kMinCallRank;
+      std::min(EntryPriority(priority, root_hash) / kRankedPriorities, 1.0);
+  if (!from_backend)
+    return position * kMinCallRank;
+  return kMinCallRank +
+         position * remaining_share * (kRankLimit - kMinCallRank);
 }
 
 std::uint64_t SharedRetryBudget::SliceNumber(state::Instant now) const {
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -55,6 +55,9 @@
 
 constexpr std::size_t kMaxConnections = 4096;
 
+/// Weight of one run in the average number of calls of a route's runs.
+constexpr double kCallsOfRunGain = 0.1;
+
 constexpr std::uint16_t kMisdirectedStatus = 421;
 constexpr std::uint16_t kFirstErrorStatus = 300;
 
@@ -244,6 +247,13 @@
   protocol::CallAnswer answer = AnswerOf(call, outcome);
   answer.service_time = Now() - call.started;
   answer.calls_made = call.calls_made;
+  if (answer.result == ResultCode::kOk &&
+      answer.http_status < kFirstErrorStatus) {
+    const auto [average, is_first] = calls_of_runs_.try_emplace(
+        call.request.route, static_cast<double>(call.calls_made));
+    if (!is_first)
+      average->second += kCallsOfRunGain * (call.calls_made - average->second);
+  }
   const bool answered = outcome.kind == HttpOutcomeKind::kAnswered &&
                         answer.run_state == RunState::kRan;
   const auto actions =
@@ -395,6 +405,17 @@
   downstream_pressure_.Observe(call.request.route, points, Now());
 }
 
+double BackendExecutor::RemainingCallShare(std::string_view parent_id) const {
+  const auto found = running_.find(std::string(parent_id));
+  if (found == running_.end())
+    return 1;
+  const Call& call = calls_.at(found->second);
+  const auto average = calls_of_runs_.find(call.request.route);
+  if (average == calls_of_runs_.end() || average->second <= 1)
+    return 1;
+  return std::max(average->second - call.calls_made, 1.0) / average->second;
+}
+
 void BackendExecutor::AddLoad(const Call& call, protocol::CallAnswer& answer) {
   const Instant now = Now();
   const coordination::QueueLoad load = queue_.load();
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -532,7 +532,8 @@
       calls != calls_per_run_.end() && calls->second < kMinCallsOfNonLeaf;
   const double rank = coordination::RetryRank(
       request.call.from_backend, request.call.priority,
-      state::HashOf(request.id.substr(0, request.id.find('.'))));
+      state::HashOf(request.id.substr(0, request.id.find('.'))),
+      backend_executor_.RemainingCallShare(request.parent_id));
   if (!budget_.TryAcquire({request.call.service, rank, is_leaf_route,
                            !request.outstanding.empty()},
                           now)) {
--- a/unittests/coordination/retry_load_test.cc
+++ b/unittests/coordination/retry_load_test.cc
@@ -55,8 +55,13 @@
   double Share(std::size_t kind) const { return served[kind] / requests[kind]; }
 };
 
+/// Whether the ranks of retries follow the progress of the runs.
+enum class Ranks : std::uint8_t { kByRequest, kByProgress };
+
 class RetryLoad {
  public:
+  explicit RetryLoad(Ranks ranks) : ranks_(ranks) {}
+
   Outcome Run() {
     double total = 0;
     for (const RequestKind& kind : kRequestKinds)
@@ -79,19 +84,24 @@
     const bool refuses = at_s >= kNormalSeconds;
     const std::uint64_t root = random_();
     bool is_served = true;
-    for (int i = 0; i < kRequestKinds[kind].reads && is_served; ++i)
-      is_served = Read(kRequestKinds[kind], root, at_s, refuses);
+    // The calls of a run are made by one node.
+    SharedRetryBudget& budget = nodes_[random_() % kNodes];
+    const int reads = kRequestKinds[kind].reads;
+    for (int i = 0; i < reads && is_served; ++i) {
+      const double remaining_share =
+          ranks_ == Ranks::kByProgress ? double(reads - i) / reads : 1;
+      const double rank =
+          RetryRank(kRequestKinds[kind].from_backend,
+                    kRequestKinds[kind].priority, root, remaining_share);
+      is_served = Read(budget, rank, at_s, refuses);
+    }
     if (!refuses)
       return;
     ++outcome_.requests[kind];
     outcome_.served[kind] += is_served ? 1 : 0;
   }
 
-  bool Read(const RequestKind& kind,
-            std::uint64_t root,
-            double at_s,
-            bool refuses) {
-    SharedRetryBudget& budget = nodes_[random_() % kNodes];
+  bool Read(SharedRetryBudget& budget, double rank, double at_s, bool refuses) {
     const state::Instant now{
         std::chrono::hours(1) +
         microseconds(static_cast<std::int64_t>(at_s * 1e6))};
@@ -99,7 +109,6 @@
     (refuses ? outcome_.reads : outcome_.normal_reads) += 1;
     std::bernoulli_distribution is_refused(refuses ? kRefusedShare : 0);
     for (int arrivals = 1; is_refused(random_); ++arrivals) {
-      const double rank = RetryRank(kind.from_backend, kind.priority, root);
       if (arrivals == kMaxArrivals ||
           !budget.TryAcquire({kService, rank, true}, now))
         return false;
@@ -108,6 +117,7 @@
     return true;
   }
 
+  const Ranks ranks_;
   std::mt19937_64 random_{20261204};
   std::vector<SharedRetryBudget> nodes_{
       kNodes, SharedRetryBudget(SharedRetryBudgetOptions{})};
@@ -115,7 +125,7 @@
 };
 
 TEST(RetryLoadTest, BookingsSucceedWhileAllServersRefuse) {
-  const Outcome outcome = RetryLoad().Run();
+  const Outcome outcome = RetryLoad(Ranks::kByProgress).Run();
   RecordProperty("stock_checks", std::to_string(outcome.Share(kStockChecks)));
   RecordProperty("schedules", std::to_string(outcome.Share(kSchedules)));
   RecordProperty("bookings", std::to_string(outcome.Share(kBookings)));
@@ -134,5 +144,26 @@
   EXPECT_LE(outcome.retries, bound + kNodes);
 }
 
+// Guards against retries that are spent on runs which fail at a later call: a
+// run that lacks one call is completed by few retries, one that has just
+// started needs several times as many.
+TEST(RetryLoadTest, RetriesCompleteMoreRunsIfTheirProgressCounts) {
+  const Outcome by_request = RetryLoad(Ranks::kByRequest).Run();
+  const Outcome by_progress = RetryLoad(Ranks::kByProgress).Run();
+  const auto completed = [](const Outcome& outcome) {
+    return outcome.served[kSchedules] + outcome.served[kBookings];
+  };
+  RecordProperty("bookings_by_request",
+                 std::to_string(by_request.Share(kBookings)));
+  RecordProperty("bookings_by_progress",
+                 std::to_string(by_progress.Share(kBookings)));
+  RecordProperty("schedules_by_request",
+                 std::to_string(by_request.Share(kSchedules)));
+  RecordProperty("schedules_by_progress",
+                 std::to_string(by_progress.Share(kSchedules)));
+  EXPECT_GT(completed(by_progress), completed(by_request));
+  EXPECT_GT(by_progress.Share(kBookings), by_request.Share(kBookings));
+}
+
 }  // namespace
 }  // namespace sesamespread::coordination
--- a/unittests/coordination/shared_retry_budget_test.cc
+++ b/unittests/coordination/shared_retry_budget_test.cc
@@ -99,11 +99,11 @@
 }
 
 TEST(SharedRetryBudgetTest, RanksPreferCallersThenImportantRequests) {
-  EXPECT_LT(RetryRank(false, 2, 127), RetryRank(true, 0, 0));
-  EXPECT_LT(RetryRank(true, 0, 127), RetryRank(true, 1, 0));
-  EXPECT_LT(RetryRank(true, 2, 127), 1);
+  EXPECT_LT(RetryRank(false, 2, 127, 1), RetryRank(true, 0, 0, 1));
+  EXPECT_LT(RetryRank(true, 0, 127, 1), RetryRank(true, 1, 0, 1));
+  EXPECT_LT(RetryRank(true, 2, 127, 1), 1);
   // The same requests are chosen at each node.
-  EXPECT_EQ(RetryRank(true, 1, 77), RetryRank(true, 1, 77));
+  EXPECT_EQ(RetryRank(true, 1, 77, 1), RetryRank(true, 1, 77, 1));
 }
 
 TEST(SharedRetryBudgetTest, NonLeafRequestsGetFewerRetries) {
