Count the time in which a process was paused against waiting requests

Cause: the time budget of a request is relative. A request that waited in the socket of a paused node, entry or executing, got its whole budget when the node ran again: 9 of 10 orders started after their callers had been answered. Change: coordination/stall_detector bounds the age of what is read after a pause; entry and executing node subtract it from the budget, and refuse what has none left.

--- a/include/sesamespread/transport/entry_request_handler.h
+++ b/include/sesamespread/transport/entry_request_handler.h
@@ -85,7 +85,8 @@
   void SetRetryRatio(double ratio) { budget_.set_ratio(ratio); }
   void SetCaller(std::string caller) { options_.caller = std::move(caller); }
 
-  void Handle(std::shared_ptr<HttpExchange> exchange);
+  /// Handles a request that was received \p age ago at most.
+  void Handle(std::shared_ptr<HttpExchange> exchange, state::Duration age);
 
   /// Requests that have not been answered.
   std::size_t in_flight() const { return requests_.size(); }
@@ -150,7 +151,9 @@
     std::string log_detail = {};
   };
 
-  void Admit(std::shared_ptr<HttpExchange> exchange, const state::Route& route);
+  void Admit(std::shared_ptr<HttpExchange> exchange,
+             const state::Route& route,
+             state::Duration age);
   protocol::CallRequest MakeCall(const HttpRequest& request,
                                  const state::Route& route) const;
   // Sets the parent: the request at the local backend server that made this
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -127,7 +127,8 @@
   *alive_ = false;
 }
 
-void EntryRequestHandler::Handle(std::shared_ptr<HttpExchange> exchange) {
+void EntryRequestHandler::Handle(std::shared_ptr<HttpExchange> exchange,
+                                 Duration age) {
   const HttpRequest& request = exchange->request();
   if (!routes_) {
     RespondFailure(exchange,
@@ -154,7 +155,7 @@
                    Duration(0));
     return;
   }
-  Admit(std::move(exchange), *route);
+  Admit(std::move(exchange), *route, age);
 }
 
 protocol::CallRequest EntryRequestHandler::MakeCall(
@@ -182,14 +183,15 @@
 }
 
 void EntryRequestHandler::Admit(std::shared_ptr<HttpExchange> exchange,
-                                const state::Route& route) {
+                                const state::Route& route,
+                                Duration age) {
   const HttpRequest& http = exchange->request();
   const Key key = next_key_++;
   Request& request = requests_[key];
   request.routes = routes_;
   request.route = &route;
   request.id = std::string(FieldOf(http.headers, options_.fields.request_id));
-  request.received = Now();
+  request.received = Now() - age;
   request.goal = request.received + route.goal;
   const Duration budget = ParseTimeBudget(
       FieldOf(http.headers, options_.fields.time_budget_ms), route.timeout);
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -158,7 +158,7 @@
                     settings.listen.entry,
                     CallerServerOptions(settings.max_connections),
                     [this](std::shared_ptr<HttpExchange> exchange) {
-                      entry_.Handle(std::move(exchange));
+                      entry_.Handle(std::move(exchange), stalls_.MaxAge(Now()));
                     }),
       report_server_(context_,
                      settings.listen.reports,
@@ -212,7 +212,7 @@
                                               Instant deadline,
                                               AnswerCallback done) {
   return backend_executor_.Execute(
-      std::move(request), deadline,
+      std::move(request), deadline - stalls_.MaxAge(Now()),
       [this, done = std::move(done)](protocol::CallAnswer answer) {
         answer.configuration_version = version();
         done(std::move(answer));
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -24,6 +24,7 @@
 #include "sesamespread/coordination/leave_durability.h"
 #include "sesamespread/coordination/route_table.h"
 #include "sesamespread/coordination/routing.h"
+#include "sesamespread/coordination/stall_detector.h"
 #include "sesamespread/coordination/store_readers.h"
 #include "sesamespread/coordination/table_watch.h"
 #include "sesamespread/coordination/version_sources.h"
@@ -173,6 +174,7 @@
   DeadlineQueue deadlines_{context_};
   boost::asio::signal_set signals_;
   coordination::Router router_;
+  coordination::StallDetector stalls_;
   BackendExecutor backend_executor_;
   OutboundCalls outbound_;
   NodeDirectory directory_;
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -16,7 +16,7 @@
 using std::chrono::seconds;
 
 /// Interval of the periodic work on links, the backend server and the shutdown.
-constexpr Duration kTickInterval = milliseconds(100);
+constexpr Duration kTickInterval = coordination::StallDetector::kTickInterval;
 
 /// Interval between checks of the settings file, which may change without a
 /// SIGHUP.
@@ -43,6 +43,7 @@
 
 void RouteNode::Impl::Tick() {
   const Instant now = Now();
+  stalls_.OnTick(now);
   if (!shutdown_at_)
     directory_.OpenMissingLinks(now);
   CheckBackend(now);
--- a/test/route_node/route_node_test.cc
+++ b/test/route_node/route_node_test.cc
@@ -239,6 +239,56 @@
   EXPECT_EQ(deployment_.CountStockExecutions("o1"), 1U);
 }
 
+// Guards against an order that starts at a server after its time budget, when
+// its caller has its answer: its request waited in the socket of a node that
+// was paused.
+TEST_F(RouteNodeTest, AnOrderThatWaitedAtAPausedNodeDoesNotStart) {
+  constexpr milliseconds kBudget{500};
+  for (int i = 0; i < 10; ++i) {
+    // The links have been used just now, so that the order is written to one.
+    deployment_.Send(deployment_.shop(), "orders.example",
+                     "w" + std::to_string(i));
+  }
+  for (std::size_t i : {0, 1})
+    deployment_.stock(i).node->Signal(SIGSTOP);
+  std::vector<std::future<bench::HttpResult>> orders;
+  for (int i = 0; i < 10; ++i) {
+    orders.push_back(std::async(std::launch::async, [this, i, kBudget] {
+      return deployment_.Send(deployment_.shop(), "orders.example",
+                              "o" + std::to_string(i), kBudget);
+    }));
+  }
+  for (auto& order : orders)
+    EXPECT_GE(order.get().status, 500);
+  std::this_thread::sleep_for(milliseconds(1000));
+  for (std::size_t i : {0, 1})
+    deployment_.stock(i).node->Signal(SIGCONT);
+  std::this_thread::sleep_for(milliseconds(500));
+  for (int i = 0; i < 10; ++i)
+    EXPECT_EQ(deployment_.CountStockExecutions("o" + std::to_string(i)), 0U);
+}
+
+// The same for a request of a caller at a paused entry node, with a caller that
+// keeps its connection open.
+TEST_F(RouteNodeTest, ARequestThatWaitedAtAPausedEntryNodeDoesNotStart) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context context;
+  tcp::socket caller(context);
+  RouteHost& entry = deployment_.stock(0);
+  caller.connect(transport::ToTcpEndpoint(entry.entry));
+  entry.node->Signal(SIGSTOP);
+  const std::string request =
+      "POST /item HTTP/1.1\r\nHost: orders.example\r\nX-Attempt-Id: o1\r\n"
+      "X-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request));
+  std::this_thread::sleep_for(milliseconds(1500));
+  entry.node->Signal(SIGCONT);
+  std::string answer(4096, '\0');
+  answer.resize(caller.read_some(boost::asio::buffer(answer)));
+  EXPECT_EQ(answer.rfind("HTTP/1.1 503", 0), 0U) << answer;
+  EXPECT_EQ(deployment_.CountStockExecutions("o1"), 0U);
+}
+
 // Guards against a node that replaces its routes by an older version from the
 // store or from a peer.
 TEST_F(RouteNodeTest, RoutesAreNeverReplacedByAnOlderVersion) {
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -131,7 +131,7 @@
                        {"X-Expect", "i-9"}};
     auto response = std::make_shared<std::optional<HttpResponse>>();
     auto exchange = std::make_shared<FakeExchange>(request, response);
-    entry_->Handle(exchange);
+    entry_->Handle(exchange, state::Duration(0));
     return {exchange, response};
   }
 
