Test planned stops at each stage of a request's arrival

Cause: operators of similar systems reported requests that were cut off without an answer when they had been accepted just before a planned stop. Change: a process test stops a node 0 to 20 ms after connections were accepted, heads or bodies half sent, whole and pipelined requests sent.

--- /dev/null
+++ b/test/route_node/planned_stop_test.cc
@@ -0,0 +1,173 @@
+/// \file
+/// Planned stops of a node under load: requests at each stage of their arrival
+/// when the stop begins. Each one gets its whole answer or a refusal, and what
+/// was refused has not run.
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "deployment.h"
+#include "sesamespread/transport/acceptor.h"
+
+namespace sesamespread::test {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// Grace time of the deployment's nodes.
+constexpr std::chrono::seconds kGrace{6};
+
+// How much of a request has been written when the stop begins.
+struct Stage {
+  const char* name;
+  // Bytes of the request before the stop, as a share of all.
+  double share;
+  // Requests written in a row on the connection.
+  int pipelined;
+};
+
+constexpr Stage kStages[] = {
+    {"accepted and nothing sent", 0, 1}, {"half of the head sent", 0.3, 1},
+    {"half of the body sent", 0.9, 1},   {"whole request sent", 1, 1},
+    {"pipelined requests sent", 1, 3},
+};
+
+// A caller with its own connection.
+class StopCaller {
+ public:
+  StopCaller(const state::Endpoint& entry, std::string id, const Stage& stage)
+      : id_(std::move(id)), stage_(stage), socket_(context_) {
+    socket_.connect(transport::ToTcpEndpoint(entry));
+    for (int i = 0; i < stage.pipelined; ++i) {
+      const std::string body(200, 'b');
+      request_ += fmt::format(
+          "POST /item HTTP/1.1\r\nHost: orders.example\r\nX-Attempt-Id: {}\r\n"
+          "X-Deadline-Ms: 4000\r\nContent-Length: {}\r\n\r\n{}",
+          IdOf(i), body.size(), body);
+    }
+    before_ = static_cast<std::size_t>(static_cast<double>(request_.size()) *
+                                       stage.share);
+    boost::asio::write(socket_, boost::asio::buffer(request_.data(), before_));
+  }
+
+  std::string IdOf(int number) const {
+    return fmt::format("{}n{}", id_, number);
+  }
+  const Stage& stage() const { return stage_; }
+
+  // Writes the rest of the requests and reads until the node closes the
+  // connection or all answers are complete. \returns what was received.
+  std::string Finish() {
+    boost::system::error_code error;
+    boost::asio::write(socket_,
+                       boost::asio::buffer(request_.data() + before_,
+                                           request_.size() - before_),
+                       error);
+    std::string received;
+    while (true) {
+      char bytes[4096];
+      const std::size_t size =
+          socket_.read_some(boost::asio::buffer(bytes), error);
+      received.append(bytes, size);
+      if (error || CountAnswers(received) == stage_.pipelined)
+        return received;
+    }
+  }
+
+  // Complete answers in \p received.
+  static int CountAnswers(const std::string& received) {
+    int count = 0;
+    std::size_t at = 0;
+    while (true) {
+      const std::size_t end = received.find("\r\n\r\n", at);
+      if (end == std::string::npos)
+        return count;
+      const std::size_t length = received.find("Content-Length: ", at);
+      if (length == std::string::npos || length > end)
+        return count;
+      at = end + 4 + std::stoul(received.substr(length + 16));
+      if (at > received.size())
+        return count;
+      ++count;
+    }
+  }
+
+ private:
+  const std::string id_;
+  const Stage stage_;
+  boost::asio::io_context context_;
+  tcp::socket socket_;
+  std::string request_;
+  // Bytes written before the stop.
+  std::size_t before_ = 0;
+};
+
+// Guards against requests that are cut off without an answer because they were
+// accepted just before or after a planned stop began, and against refused ones
+// that run.
+TEST(PlannedStopTest, EachRequestIsAnsweredAtEveryStageOfItsArrival) {
+  for (const int delay_ms : {0, 1, 5, 20}) {
+    RouteDeployment deployment({{"shop", "stock", "stock"}});
+    ASSERT_TRUE(deployment.WaitUntilServing());
+    for (std::size_t i : {0, 1})
+      deployment.stock(i).backend->SetServiceTime(milliseconds(300));
+    RouteHost& stopped = deployment.stock(0);
+    std::vector<std::unique_ptr<StopCaller>> callers;
+    for (const Stage& stage : kStages) {
+      for (int i = 0; i < 6; ++i) {
+        callers.push_back(std::make_unique<StopCaller>(
+            stopped.entry, fmt::format("c{}", callers.size()), stage));
+      }
+    }
+    std::this_thread::sleep_for(milliseconds(delay_ms));
+    stopped.node->Signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(delay_ms));
+    std::vector<std::string> received(callers.size());
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < callers.size(); ++i)
+      threads.emplace_back([&, i] { received[i] = callers[i]->Finish(); });
+    for (std::thread& thread : threads)
+      thread.join();
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+      const StopCaller& caller = *callers[i];
+      SCOPED_TRACE(fmt::format("{}, stop after {} ms, received: {}",
+                               caller.stage().name, delay_ms, received[i]));
+      // After an answer that closes the connection, pipelined requests have not
+      // been read; the caller may send them again.
+      const int answers = StopCaller::CountAnswers(received[i]);
+      const bool closes =
+          received[i].find("Connection: close") != std::string::npos;
+      EXPECT_GE(answers, closes ? 1 : caller.stage().pipelined);
+      for (int n = 0; n < caller.stage().pipelined; ++n) {
+        const std::size_t runs =
+            deployment.CountStockExecutions(caller.IdOf(n));
+        EXPECT_LE(runs, 1U);
+        if (n >= answers) {
+          EXPECT_EQ(runs, 0U) << "unanswered request " << n << " has run";
+        }
+      }
+      if (received[i].rfind("HTTP/1.1 503", 0) == 0) {
+        EXPECT_EQ(deployment.CountStockExecutions(caller.IdOf(0)), 0U);
+      } else {
+        EXPECT_EQ(received[i].rfind("HTTP/1.1 200", 0), 0U);
+      }
+    }
+    EXPECT_EQ(stopped.node->Wait(kGrace), 0);
+    if (::testing::Test::HasFailure())
+      std::cerr << deployment.CollectDiagnostics();
+  }
+}
+
+}  // namespace
+}  // namespace sesamespread::test
