Pass on no status that promises not run unless the server stated it

Cause: a 503, 429 or 408 of a backend server without the field that says so, and without its signature, was passed on, and callers take it for a promise. Two property tests discarded their result. Change: such an answer fails the call as one that may have run; the property tests check their result.

--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -74,6 +74,12 @@
   return options;
 }
 
+// Whether callers understand the status as a promise that the request has not
+// run.
+bool PromisesNotRun(std::uint16_t status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace
 
 BackendExecutor::BackendExecutor(boost::asio::io_context& context,
@@ -329,6 +335,15 @@
   // Backend servers answer without content encoding, so an encoded body was not
   // sent by the backend server.
   const bool encoded = !FieldOf(headers, "Content-Encoding").empty();
+  if (PromisesNotRun(response.status) && !has_seal) {
+    // The caller would take the status for a promise that the backend server
+    // has not given.
+    return FailedAnswer(
+        call.request, ResultCode::kBadBackendAnswer, RunState::kUnknown,
+        fmt::format(
+            "status {} without a statement that the request has not run",
+            response.status));
+  }
   if ((success && (!has_seal || !has_id)) || encoded) {
     return FailedAnswer(call.request, ResultCode::kBadBackendAnswer,
                         RunState::kRan,
--- a/unittests/coordination/shared_retry_budget_test.cc
+++ b/unittests/coordination/shared_retry_budget_test.cc
@@ -119,7 +119,7 @@
 // For any requests and failures at the nodes, the sum of retries stays within
 // the bound for each window, which allows each node at least one retry.
 TEST(SharedRetryBudgetPropertyTest, AllNodesTogetherStayWithinTheBound) {
-  rc::check([](const std::vector<std::uint32_t>& steps) {
+  const bool holds = rc::check([](const std::vector<std::uint32_t>& steps) {
     constexpr std::size_t kNodes = 4;
     constexpr std::int64_t kWindowMs = 10'000;
     std::vector<SharedRetryBudget> nodes(
@@ -152,6 +152,7 @@
                 0.2 * static_cast<double>(counted) + kNodes + 1);
     }
   });
+  EXPECT_TRUE(holds);
 }
 
 }  // namespace
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -329,6 +329,22 @@
   EXPECT_EQ(Await(Send("/read/1", "r2")).status, 200);
 }
 
+// Guards against passing on a status that promises "not run" although the
+// server has not stated it: the order has run.
+TEST_F(EntryRequestHandlerTest, AnUnstatedRefusalOfAServerIsNoPromise) {
+  for (const std::uint16_t status : {408, 429, 503}) {
+    backend_ = [status](const auto& exchange) {
+      HttpResponse response;
+      response.status = status;
+      response.headers = {IdOf(*exchange)};
+      exchange->Respond(response);
+    };
+    EXPECT_EQ(Await(Send("/order/1", "r" + std::to_string(status))).status,
+              502);
+  }
+  EXPECT_EQ(requests_.size(), 3U);
+}
+
 // Guards against reporting a misdirected request as one that may have run: a
 // server that is another instance than expected answers 421 and does not run
 // it.
--- a/unittests/transport/frame_compression_test.cc
+++ b/unittests/transport/frame_compression_test.cc
@@ -30,7 +30,7 @@
 }
 
 TEST(FrameCompressionTest, RoundTripsAnySequenceOfFrames) {
-  rc::check([](const std::vector<std::string>& frames) {
+  const bool holds = rc::check([](const std::vector<std::string>& frames) {
     FrameCompressor compressor;
     FrameDecompressor decompressor;
     for (const std::string& frame : frames) {
@@ -42,6 +42,7 @@
       RC_ASSERT(std::string(restored->begin(), restored->end()) == frame);
     }
   });
+  EXPECT_TRUE(holds);
 }
 
 TEST(FrameCompressionTest, RejectsFramesThatExceedTheSizeLimit) {
