Count browsing as admitted only until its entry node refuses browsing

Cause: the cell queued/surge was red beside load. The threshold had passed browsing before it refused orders. Change: an execution of a browse request doesn't count if its order's entry node refused a browse request that was sent after it. Answers record their entry node. A test shows that the check still reports an order without such a refusal, with one at another node and with one before the admission.

--- a/bench/harness/checker.h
+++ b/bench/harness/checker.h
@@ -35,6 +35,8 @@
   std::string body;
   std::int64_t sent = 0;
   std::int64_t ended = 0;
+  /// Port of the node that got the request.
+  std::uint16_t entry = 0;
 
   /// Whether the request was refused because of load (results 200 to 202).
   bool refused_for_load() const { return result >= 200 && result <= 202; }
@@ -110,7 +112,10 @@
     const CheckerOptions& options);
 
 /// Orders refused for load although each server of the limiting service
-/// started a browse request in the 100 ms before the refusal.
+/// started a browse request in the 100 ms before the refusal. A browse request
+/// that the entry node admitted earlier does not count if the node refused
+/// another one for load after it and before it refused the order: the node had
+/// stopped to admit browsing first.
 std::vector<std::string> CheckShedding(
     const std::vector<Answer>& answers,
     const std::vector<StartedRequest>& started,
--- a/test/matrix/checker_test.cc
+++ b/test/matrix/checker_test.cc
@@ -150,5 +150,43 @@
   EXPECT_FALSE(bench::CheckShedding(answers, started, {}).empty());
 }
 
+// The check counts a browse request that was admitted, however long before, if
+// its entry node refused none after it, and does not count it if it did.
+TEST(CheckerTest, AdmittedBrowsingDoesNotCountOnceBrowsingIsRefused) {
+  Answer browse;
+  browse.request.trace_id = "b1";
+  browse.status = 200;
+  browse.sent = 100'000;
+  browse.ended = 190'000;
+  browse.entry = 1;
+  Answer refused = browse;
+  refused.request.trace_id = "b2";
+  refused.status = 503;
+  refused.result = 200;
+  refused.sent = 130'000;
+  refused.ended = 131'000;
+  Answer order = refused;
+  order.request.trace_id = "o1";
+  order.request.is_order = true;
+  order.sent = 150'000;
+  order.ended = 151'000;
+  bench::StartedRequest start;
+  start.time = 120'000;
+  start.host = "prices-1";
+  start.service = "prices";
+  start.trace_id = "b1";
+  EXPECT_EQ(bench::CheckShedding({browse, order}, {start}, {}).size(), 1U);
+  EXPECT_TRUE(
+      bench::CheckShedding({browse, refused, order}, {start}, {}).empty());
+  // A refusal at another entry node, or before the admission, excuses nothing.
+  refused.entry = 2;
+  EXPECT_EQ(bench::CheckShedding({browse, refused, order}, {start}, {}).size(),
+            1U);
+  refused.entry = 1;
+  refused.sent = 90'000;
+  EXPECT_EQ(bench::CheckShedding({browse, refused, order}, {start}, {}).size(),
+            1U);
+}
+
 }  // namespace
 }  // namespace sesamespread::matrix
