Let a node that hears from no reader of its zone read the store itself

Cause: a node that was cut off from its peers but not from the store took the readers for alive, because its idle links count as open for many seconds: new routes came into force after 3.4 s in a deployment of five nodes, where the users' bound is 2 s. A second leave of an instance with the same name was not recorded. Change: readers that reach the store send their version to the nodes of their zone every 500 ms; a node that hears none for 1 s, and 50 ms more for each node of the zone before it, reads for itself, every 3 s while the store refuses.

--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -121,8 +121,7 @@
   void Start(Handle handle);
   void OnOutcome(Handle handle, HttpOutcome outcome);
   protocol::CallAnswer AnswerOf(const Call& call, HttpOutcome& outcome);
-  protocol::CallAnswer AnswerOfResponse(const Call& call,
-                                        HttpOutcome& outcome);
+  protocol::CallAnswer AnswerOfResponse(const Call& call, HttpOutcome& outcome);
   void OnUnreachable();
   void Apply(const coordination::QueueActions& actions);
   void PostRefusal(Handle handle, state::ResultCode code);
--- a/include/sesamespread/transport/node_directory.h
+++ b/include/sesamespread/transport/node_directory.h
@@ -66,6 +66,11 @@
   bool is_linked(state::NodeId node) const {
     return linked_nodes_.count(node) > 0;
   }
+  /// Whether \p node is known and in this node's availability zone.
+  bool is_in_own_zone(state::NodeId node) const {
+    const auto found = nodes_.find(node);
+    return found != nodes_.end() && found->second.record.zone == self_.zone;
+  }
   /// Which peers ZonePeers returns: all known ones or those with open links.
   enum class Peers : std::uint8_t { kKnown, kLinked };
   /// Returns the peers in this node's availability zone.
--- a/lib/coordination/store_readers.cc
+++ b/lib/coordination/store_readers.cc
@@ -6,12 +6,21 @@
 
 namespace sesamespread::coordination {
 
-bool StoreReaders::IsReader(const StoreReaderInput& input) const {
+std::size_t StoreReaders::RankOf(const StoreReaderInput& input) {
   // Node ids are hashes of names, so that the lowest ones are a random choice.
-  const auto lower =
+  return static_cast<std::size_t>(
       std::count_if(input.zone_peers.begin(), input.zone_peers.end(),
-                    [&](state::NodeId node) { return node < input.self; });
-  return static_cast<std::size_t>(lower) < options_.readers_per_zone;
+                    [&](state::NodeId node) { return node < input.self; }));
+}
+
+bool StoreReaders::IsReader(const StoreReaderInput& input) const {
+  const std::size_t rank = RankOf(input);
+  if (rank < options_.readers_per_zone)
+    return true;
+  return input.has_routes &&
+         input.since_last_notice >=
+             options_.takeover_wait +
+                 options_.takeover_step * static_cast<std::int64_t>(rank);
 }
 
 std::size_t StoreReaders::CountReaders(
@@ -23,18 +32,16 @@
 }
 
 bool StoreReaders::MayCall(const StoreReaderInput& input) const {
-  if (IsReader(input))
+  if (RankOf(input) < options_.readers_per_zone)
     return true;
   if (!input.has_routes) {
     return input.uptime >= options_.start_wait &&
            input.since_last_call >=
                std::min(options_.no_routes_interval, input.uptime);
   }
-  const state::Duration interval =
-      std::max(options_.check_interval_per_node *
-                   static_cast<std::int64_t>(input.known_nodes + 1),
-               options_.min_check_interval);
-  return input.since_last_call >= interval;
+  return IsReader(input) &&
+         (!input.has_last_call_failed ||
+          input.since_last_call >= options_.refused_interval);
 }
 
 }  // namespace sesamespread::coordination
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -326,6 +326,8 @@
     return;
   }
   if (const auto* notice = std::get_if<protocol::VersionNotice>(&message)) {
+    if (directory_.is_in_own_zone(notice->node))
+      last_zone_notice_ = Now();
     OnPeerRoutesVersion(notice->node, notice->version);
     if (notice->version > version() && !directory_.is_linked(notice->node))
       reply(protocol::ConfigurationPull{version()});
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -94,7 +94,8 @@
   void ApplyDocument(const std::string& document, std::string_view source);
   // Notifies some random peers of the version in force.
   void AnnounceVersion();
-  // Notifies one random peer from time to time; called by each tick.
+  // As a reader of the store, notifies the nodes of the zone from time to time;
+  // called by each tick.
   void RepeatAnnouncement(state::Instant now);
   void SendVersionNotice(state::NodeId node);
   std::uint64_t version() const { return routes_ ? routes_->version : 0; }
@@ -211,7 +212,9 @@
   // A leave that this process has recorded, and the reports of it that wait for
   // an answer.
   struct RecordedLeave {
-    explicit RecordedLeave(state::Instant now) : durability(now) {}
+    explicit RecordedLeave(state::Instant now)
+        : recorded_at(now), durability(now) {}
+    state::Instant recorded_at;
     coordination::LeaveDurability durability;
     std::vector<std::shared_ptr<HttpExchange>> waiting;
   };
@@ -245,6 +248,9 @@
   // When the last call for the document was made; initially the start of this
   // process.
   state::Instant last_document_call_ = started_at_;
+  // When the last notice of a version from a node of the zone arrived;
+  // initially the start of this process.
+  state::Instant last_zone_notice_ = started_at_;
   // When the last successful call for the document ended; initially the start
   // of this process.
   state::Instant last_store_answer_ = started_at_;
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -41,10 +41,6 @@
 /// rather than by their links.
 constexpr Duration kLinkOpeningTime = milliseconds(500);
 
-/// Interval at which a node tells a random peer the version of its routes, so
-/// that a peer that missed an announcement learns of the version.
-constexpr Duration kAnnouncementInterval = seconds(1);
-
 /// Peers in any availability zone that are notified of a new version, in
 /// addition to those in the own one.
 constexpr std::size_t kAnnouncementsToAllZones = 2;
@@ -61,6 +57,9 @@
 /// restarts meanwhile receives the leave from other nodes only.
 constexpr Duration kStoreLeaveRetryDelay = milliseconds(700);
 
+/// Reports of the leave of one name within this time are of one instance.
+constexpr Duration kRepeatedLeaveTime = seconds(3);
+
 /// Longest wait after the start for the local leaves, which other nodes supply
 /// if the store does not answer. A node tries to reconnect to a peer that it
 /// has just lost at once and again after 0.4 s.
@@ -96,9 +95,11 @@
   input.zone_peers =
       directory_.ZonePeers(has_started ? NodeDirectory::Peers::kLinked
                                        : NodeDirectory::Peers::kKnown);
-  input.known_nodes = directory_.known_nodes();
   input.has_routes = routes_ != nullptr;
+  input.has_last_call_failed =
+      last_document_call_ != started_at_ && !document_watch_.is_connected();
   input.since_last_call = now - last_document_call_;
+  input.since_last_notice = now - last_zone_notice_;
   return input;
 }
 
@@ -201,9 +202,14 @@
 }
 
 void RouteNode::Impl::RepeatAnnouncement(Instant now) {
-  if (!routes_ || now - last_announcement_ < kAnnouncementInterval)
+  // Only a reader that reaches the store keeps others from reading it.
+  if (!routes_ || !is_store_reader_ || !document_watch_.is_connected() ||
+      now - last_announcement_ < store_readers_.notice_interval())
     return;
   last_announcement_ = now;
+  for (const state::NodeId node :
+       directory_.ZonePeers(NodeDirectory::Peers::kLinked))
+    SendVersionNotice(node);
   for (const state::NodeId node : directory_.SampleLinkedNodes(1, random_))
     SendVersionNotice(node);
 }
@@ -372,8 +378,17 @@
   const Instant now = Now();
   const std::uint64_t left_ms = state::WallMilliseconds(WallNow());
   registry_.ApplyInstanceLeave(instance, left_ms, now);
-  if (!leaves_.try_emplace(instance, RecordedLeave{now}).second)
-    return;
+  const auto [found, is_first] =
+      leaves_.try_emplace(instance, RecordedLeave{now});
+  RecordedLeave& leave = found->second;
+  if (!is_first) {
+    // The backend server repeats its report until it is confirmed. A later
+    // instance may use the same name and leave as well.
+    if (now - leave.recorded_at < kRepeatedLeaveTime)
+      return;
+    leave.durability = coordination::LeaveDurability(now);
+    leave.recorded_at = now;
+  }
   const protocol::BackendLeft left{directory_.self().node, instance, left_ms};
   inbound_.Broadcast(left);
   outbound_.Broadcast(left);
--- a/test/route_node/route_node_test.cc
+++ b/test/route_node/route_node_test.cc
@@ -312,6 +312,34 @@
       bench::WaitFor([&] { return is_withdrawn(restarted); }, kTestTimeout));
 }
 
+// Guards against old routes at a node that is cut off from all peers but
+// reaches the store: other nodes read the store for it, and its idle links to
+// them seem to be open.
+TEST(RouteNodeStoreTest, NodesCutOffFromTheirPeersReadTheStore) {
+  RouteDeployment deployment(
+      {{"shop", "stock", "stock", "stock", "stock"}, true});
+  ASSERT_TRUE(deployment.WaitUntilServing());
+  bench::ProxyFault silent;
+  silent.holds_requests = silent.holds_answers = true;
+  for (RouteHost& host : deployment.hosts())
+    host.peer_proxy->SetFault(silent);
+  const state::Instant changed = transport::Now();
+  deployment.PutRoutes(2);
+  const bool in_force = bench::WaitFor(
+      [&] {
+        for (const RouteHost& host : deployment.hosts()) {
+          if (deployment.MetricOf(host, "sesamespread_configuration_version") !=
+              2)
+            return false;
+        }
+        return true;
+      },
+      kTestTimeout);
+  EXPECT_TRUE(in_force);
+  // The users' bound for new routes.
+  EXPECT_LT(transport::Now() - changed, std::chrono::seconds(2));
+}
+
 // Guards against a node that cannot start or serve while the store is down.
 TEST_F(RouteNodeTest, ANodeStartsWhileTheStoreIsDown) {
   for (const Store::Mode mode : {Store::Mode::kSilent, Store::Mode::kRefusing,
