Ignore a late leave of an earlier run and keep the row of the latest leave

Cause: found on reading. A leave with a start time that did not match the current instance was recorded for its name, also if it came late from an earlier run with the same name: the running server got no work any more. Of repeated leaves with one name, the oldest was evicted from the table by a key that the newest has as well. Change: the leave of an earlier run of the current instance is not recorded; a new leave replaces the stored one with its key. Result: BackendRegistryTest.ALateLeaveOfAnEarlierRunIsRecognized passes; the tests of leaves with processes pass.

--- a/include/sesamespread/coordination/backend_registry.h
+++ b/include/sesamespread/coordination/backend_registry.h
@@ -68,6 +68,10 @@
                                      std::uint32_t slots,
                                      state::Instant now);
 
+  /// Whether \p identity is known to be an earlier run of the current instance.
+  /// Its leave may arrive late and says nothing about the current run.
+  bool IsEarlierRun(const state::BackendInstance& identity) const;
+
   /// The last report of the newest instance, with `leaving` set also after a
   /// leave; nullopt before the first report or health check.
   const std::optional<state::BackendReport>& current() const {
--- a/lib/coordination/backend_registry.cc
+++ b/lib/coordination/backend_registry.cc
@@ -13,6 +13,13 @@
   return identity.instance == current.instance && same_start;
 }
 
+bool BackendRegistry::IsEarlierRun(
+    const state::BackendInstance& identity) const {
+  return current_ && identity.started_ms != 0 &&
+         identity.instance == current_->identity.instance &&
+         identity.started_ms < current_->identity.started_ms;
+}
+
 bool BackendRegistry::HasLeft(const state::BackendInstance& identity) const {
   const auto found = leave_times_ms_.find(identity.instance);
   return found != leave_times_ms_.end() && identity.started_ms <= found->second;
--- a/lib/state/route_node_settings.cc
+++ b/lib/state/route_node_settings.cc
@@ -56,9 +56,8 @@
     {"retries.window", kDecimalDuration, kUnits, false, "10s",
      "Time over which the bound holds.", "", 1'000'000, kMaxTimeoutUs},
     {"bootstrap", kBoolean, "", false, "false",
-     "Whether the whole system starts for the first time, so that nothing of "
-     "an "
-     "earlier run has to be recovered."},
+     "Whether the whole system starts for the first time, so that there is no "
+     "earlier state to recover."},
     {"max_connections", kCount, "", false, "2600",
      "Connections of callers at a time.", "", 1, kMaxConnections},
     {"log", kMap, "", false, "", "Log lines on standard output."},
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -255,7 +255,8 @@
              registry_.accepts_work())
     MarkBackendUp("report");
   // A leave that arrives before any report has to be recorded as well.
-  if (!report && outcome == ReportOutcome::kStale)
+  if (!report && outcome == ReportOutcome::kStale &&
+      !registry_.IsEarlierRun(identity))
     RecordLeave(identity.instance);
   if (outcome != ReportOutcome::kUnchanged) {
     Log(LogLevel::kInfo, "report_taken",
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -432,6 +432,9 @@
                                  std::uint64_t left_ms) {
   const std::string key = LeaveKeyPrefix() + instance;
   std::vector<std::string> removed;
+  // An earlier leave of the same name has the same row.
+  std::erase_if(stored_leaves_,
+                [&key](const auto& stored) { return stored.second == key; });
   stored_leaves_.insert({left_ms, key});
   while (stored_leaves_.size() > kMaxStoredLeaves) {
     removed.push_back(stored_leaves_.begin()->second);
--- a/unittests/coordination/backend_registry_test.cc
+++ b/unittests/coordination/backend_registry_test.cc
@@ -56,6 +56,19 @@
   EXPECT_EQ(registry_.current()->identity.started_ms, 200U);
 }
 
+// Guards against a running server that gets no work because the leave of an
+// earlier run with the same name arrived late and was recorded for the name.
+TEST_F(BackendRegistryTest, ALateLeaveOfAnEarlierRunIsRecognized) {
+  Apply(MakeReport("i-1", 200, 1));
+  EXPECT_EQ(registry_.ApplyLeave({"i-1", 100}, 300, At(++now_)),
+            ReportOutcome::kStale);
+  EXPECT_TRUE(registry_.IsEarlierRun({"i-1", 100}));
+  EXPECT_TRUE(registry_.accepts_work());
+  EXPECT_FALSE(registry_.IsEarlierRun({"i-1", 200}));
+  EXPECT_FALSE(registry_.IsEarlierRun({"i-1", 0}));
+  EXPECT_FALSE(registry_.IsEarlierRun({"i-2", 100}));
+}
+
 TEST_F(BackendRegistryTest, LaterReportsDoNotUndoALeave) {
   Apply(MakeReport("i-1", 100, 1));
   state::BackendReport leaving = MakeReport("i-1", 100, 2);
