Do not end the process for a chunked message in pieces

Once the parser has seen the line end of a last chunk without a chunk before it, it asserts that five bytes of it are there. A read that ends one byte after that line end breaks this. A backend server or a caller could end a node. The HTTP parsers were not fuzzed, and the fuzzers were built without assertions.

Change: the parser gets the place of a chunk header only together with the five bytes that any chunked message still has there.

--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -26,6 +26,7 @@
 frame_fuzzer 60000 4096
 datagram_fuzzer 60000 1400
 http_fields_fuzzer 200000 512
+http_message_fuzzer 40000 256 fuzz/seeds/chunked-answer fuzz/seeds/chunked-request
 inventory_fuzzer 2000 4096 examples/colmenar.yaml examples/lembaga.yaml
 node_settings_fuzzer 4000 2048 examples/node.yaml
 platform_rows_fuzzer 10000 2048
--- a/lib/transport/http_wire.h
+++ b/lib/transport/http_wire.h
@@ -57,6 +57,8 @@
         return ParseStatus::kNeedMore;
       const bool in_header = !this->is_header_done();
       const std::string_view rest = data.substr(*consumed);
+      if (IsAtChunkHeader() && rest.size() < kMinChunkedRestBytes)
+        return ParseStatus::kNeedMore;
       ErrorCode error;
       const std::size_t used =
           this->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
@@ -94,6 +96,16 @@
   int version() const { return version_; }
 
  private:
+  // The last chunk "0" with both of its line ends. No chunked message ends with
+  // fewer bytes after the place of a chunk header. Beast asserts that it
+  // has them once it has seen the first line end of a last chunk, so that a
+  // message in other pieces would end the process.
+  static constexpr std::size_t kMinChunkedRestBytes = 5;
+
+  bool IsAtChunkHeader() const {
+    return this->is_header_done() && this->chunked() && chunk_left_ == 0;
+  }
+
   // Checks the size of the bytes that the parser has not consumed.
   ParseStatus CheckUnparsedBytes(std::size_t unparsed) {
     // Chunk extensions and trailers have the same limit as the header.
@@ -200,15 +212,17 @@
     return body.size();
   }
 
-  void on_chunk_header_impl(std::uint64_t,
+  void on_chunk_header_impl(std::uint64_t size,
                             StringView,
                             ErrorCode& error) override {
     error = {};
+    chunk_left_ = size;
   }
 
   std::size_t on_chunk_body_impl(std::uint64_t,
                                  StringView body,
                                  ErrorCode& error) override {
+    chunk_left_ -= body.size();
     return on_body_impl(body, error);
   }
 
@@ -221,6 +235,8 @@
   int host_count_ = 0;
   bool expects_continue_ = false;
   bool header_done_ = false;
+  /// Bytes of the current chunk that were not parsed.
+  std::uint64_t chunk_left_ = 0;
   Message message_;
   std::string detail_;
 };
