Bound the time until the last node of a zone takes over as a reader

Cause: a node that hears from no reader of the store takes over after 1 s and 50 ms for each node of its zone that comes before it. With 75 nodes in a zone, as 300 hosts in 4 zones have, that is 4.8 s for the last one, while the users' bound for new routes is 3 s.

Change: the steps are shorter in zones of more than 30 nodes, and sum up to 1.5 s at most.

Result: StoreReadersTest.TheLastNodeOfALargeZoneTakesOverInTime failed before for 75, 300 and 1000 nodes and passes now. Zones of up to 30 nodes behave as before.

--- a/include/sesamespread/coordination/store_readers.h
+++ b/include/sesamespread/coordination/store_readers.h
@@ -29,9 +29,12 @@
   /// node may be cut off from them and still reach the store.
   state::Duration takeover_wait = std::chrono::milliseconds(1000);
   /// Added for each node of the zone that comes before it, so that one node
-  /// after the other takes over. A node that is cut off alone has to read new
-  /// routes within 3 s; 33 nodes of a zone take over within 2.7 s.
-  state::Duration takeover_step = std::chrono::milliseconds(50);
+  /// after the other takes over.
+  state::Duration max_takeover_step = std::chrono::milliseconds(50);
+  /// Bound on the sum of these steps, whatever the size of the zone. A node
+  /// that is cut off alone has to read new routes within 3 s, which leaves half
+  /// a second for the call.
+  state::Duration takeover_span = std::chrono::milliseconds(1500);
   /// Interval of the calls of a node that took over while the store refuses
   /// them.
   state::Duration refused_interval = std::chrono::seconds(3);
@@ -82,6 +85,8 @@
  private:
   // The number of nodes of the zone that come before this one.
   static std::size_t RankOf(const StoreReaderInput& input);
+  // How long a node without notices waits until it takes over.
+  state::Duration TakeoverDelay(const StoreReaderInput& input) const;
 
   StoreReaderOptions options_;
 };
--- a/lib/coordination/store_readers.cc
+++ b/lib/coordination/store_readers.cc
@@ -13,14 +13,19 @@
                     [&](state::NodeId node) { return node < input.self; }));
 }
 
+state::Duration StoreReaders::TakeoverDelay(
+    const StoreReaderInput& input) const {
+  const auto rank = static_cast<std::int64_t>(RankOf(input));
+  const auto zone_size = static_cast<std::int64_t>(input.zone_peers.size() + 1);
+  return options_.takeover_wait +
+         std::min(options_.max_takeover_step * rank,
+                  options_.takeover_span * rank / zone_size);
+}
+
 bool StoreReaders::IsReader(const StoreReaderInput& input) const {
-  const std::size_t rank = RankOf(input);
-  if (rank < options_.readers_per_zone)
+  if (RankOf(input) < options_.readers_per_zone)
     return true;
-  return input.has_routes &&
-         input.since_last_notice >=
-             options_.takeover_wait +
-                 options_.takeover_step * static_cast<std::int64_t>(rank);
+  return input.has_routes && input.since_last_notice >= TakeoverDelay(input);
 }
 
 std::size_t StoreReaders::CountReaders(
--- a/unittests/coordination/store_readers_test.cc
+++ b/unittests/coordination/store_readers_test.cc
@@ -89,6 +89,17 @@
   EXPECT_TRUE(StoreReaders().MayCall(input));
 }
 
+// Guards against an order of takeovers that grows with the zone: with 75 nodes
+// the last one, cut off alone, read new routes after 4.8 s, and the users'
+// bound is 3 s.
+TEST(StoreReadersTest, TheLastNodeOfALargeZoneTakesOverInTime) {
+  for (const std::size_t size : {75, 300, 1000}) {
+    StoreReaderInput input = InputOf(~0ULL, MakeZone(size));
+    input.since_last_notice = milliseconds(2500);
+    EXPECT_TRUE(StoreReaders().IsReader(input)) << size;
+  }
+}
+
 // Guards against a whole zone that calls the store at once because its readers
 // were lost.
 TEST(StoreReadersTest, OneNodeAfterTheOtherTakesOver) {
