Say that a call has not run if its link never took it

Cause: when a link to a node was lost, each call on it ended as unknown, also those whose bytes had never left this node, as behind large uploads to a host that had vanished. A client can't repeat an order after that.

Change: a link counts the bytes that the kernel has taken. A call that ends beyond them can't have arrived as a whole and ends as not_run, so that another server is asked without use of the retry budget.

--- a/include/sesamespread/transport/outbound_calls.h
+++ b/include/sesamespread/transport/outbound_calls.h
@@ -80,7 +80,7 @@
 
   /// Sends \p request to \p node. \p done runs exactly once, with the complete
   /// answer or with a failure, unless the call is cancelled. `not_run` is
-  /// reported by this class only if the request was never sent.
+  /// reported by this class only if the request was never sent as a whole.
   Handle Call(state::NodeId node,
               const state::Endpoint& endpoint,
               protocol::CallRequest request,
@@ -133,6 +133,8 @@
     state::NodeId node = 0;
     // The link it was sent on; nullptr while it waits for one.
     std::shared_ptr<PeerLink> link;
+    // PeerLink::added_bytes() once it was added to the queue of the link.
+    std::uint64_t end_on_link = 0;
     DeadlineQueue::Id deadline_timer_id = 0;
     std::uint64_t max_answer_bytes = 0;
     AnswerCallback done;
--- a/include/sesamespread/transport/peer_link.h
+++ b/include/sesamespread/transport/peer_link.h
@@ -78,6 +78,12 @@
   /// When the last bytes were received.
   state::Instant last_received() const { return last_received_; }
 
+  /// Bytes of all frames that were added to the send queue so far.
+  std::uint64_t added_bytes() const { return added_bytes_; }
+  /// Upper bound on the bytes that were passed to the kernel. The other end
+  /// cannot have received a frame that ends beyond it.
+  std::uint64_t max_written_bytes() const { return max_written_bytes_; }
+
   bool is_open() const { return open_; }
   std::size_t queued_bytes() const { return queued_bytes_; }
 
@@ -109,6 +115,9 @@
   std::vector<std::string> writing_;
   // Sum of the sizes of queue_ and writing_.
   std::size_t queued_bytes_ = 0;
+  std::uint64_t added_bytes_ = 0;
+  // Counts the bytes of writing_ as written until the write has ended.
+  std::uint64_t max_written_bytes_ = 0;
   state::Instant last_received_;
   // True while a ping is unanswered; ping_sent_ is the time of that ping.
   bool ping_outstanding_ = false;
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -265,6 +265,7 @@
                              PeerSession& session) {
   if (session.link->Send(call.request)) {
     call.link = session.link;
+    call.end_on_link = session.link->added_bytes();
     ++session.in_flight;
     // Only the id and the allotment of the request are needed from here on.
     call.request.body.clear();
@@ -306,9 +307,18 @@
     if (call.link.get() == link)
       lost.push_back(handle);
   }
-  for (const Handle handle : lost)
-    FailCall(handle, state::ResultCode::kLinkLost, state::RunState::kUnknown,
-             reason);
+  for (const Handle handle : lost) {
+    const auto found = calls_.find(handle);
+    // The callback of another call may have cancelled this one.
+    if (found == calls_.end())
+      continue;
+    const bool may_have_arrived =
+        found->second.end_on_link <= link->max_written_bytes();
+    FailCall(
+        handle, state::ResultCode::kLinkLost,
+        may_have_arrived ? state::RunState::kUnknown : state::RunState::kNotRun,
+        reason);
+  }
 }
 
 void OutboundCalls::OnMessage(state::NodeId node,
--- a/lib/transport/peer_link.cc
+++ b/lib/transport/peer_link.cc
@@ -54,6 +54,7 @@
   if (queued_bytes_ + frame.size() > kMaxQueuedBytes)
     return false;
   queued_bytes_ += frame.size();
+  added_bytes_ += frame.size();
   queue_.push_back(std::move(frame));
   if (writing_.empty())
     WriteNext();
@@ -195,23 +196,27 @@
     queue_.pop_front();
   }
   buffers.reserve(writing_.size());
-  for (const std::string& frame : writing_)
+  std::size_t size = 0;
+  for (const std::string& frame : writing_) {
     buffers.push_back(asio::buffer(frame));
-  asio::async_write(
-      socket_, buffers,
-      [self = shared_from_this()](const error_code& error, std::size_t) {
-        for (const std::string& frame : self->writing_)
-          self->queued_bytes_ -= frame.size();
-        self->writing_.clear();
-        if (error) {
-          self->Close(error.message());
-          return;
-        }
-        if (self->open_ && self->on_written_)
-          self->on_written_();
-        if (!self->queue_.empty() && self->writing_.empty())
-          self->WriteNext();
-      });
+    size += frame.size();
+  }
+  max_written_bytes_ += size;
+  asio::async_write(socket_, buffers,
+                    [self = shared_from_this(), size](const error_code& error,
+                                                      std::size_t written) {
+                      self->queued_bytes_ -= size;
+                      self->max_written_bytes_ -= size - written;
+                      self->writing_.clear();
+                      if (error) {
+                        self->Close(error.message());
+                        return;
+                      }
+                      if (self->open_ && self->on_written_)
+                        self->on_written_();
+                      if (!self->queue_.empty() && self->writing_.empty())
+                        self->WriteNext();
+                    });
 }
 
 PeerListener::PeerListener(asio::io_context& context,
--- a/unittests/transport/peer_calls_test.cc
+++ b/unittests/transport/peer_calls_test.cc
@@ -230,6 +230,38 @@
   EXPECT_EQ(requests, 1u);
 }
 
+// Guards against `unknown`, after which no client may repeat an order, for a
+// call that a silent link has never taken from this node.
+TEST_F(PeerCallsTest, CallThatWasNotWrittenHasNotRun) {
+  std::vector<std::shared_ptr<PeerLink>> accepted_links;
+  PeerListener listener(context_, {"127.0.0.1", 0},
+                        [&](std::shared_ptr<PeerLink> link) {
+                          accepted_links.push_back(link);
+                          // The link never reads.
+                          link->Send(protocol::Hello{8, 1, "silent"});
+                        });
+  const auto call = [&](const std::string& path, std::size_t body_bytes) {
+    protocol::CallRequest request = MakeRequest(path);
+    request.body = std::string(body_bytes, 'b');
+    outbound_.Call(8, {"127.0.0.1", listener.port()}, std::move(request),
+                   Now() + std::chrono::seconds(5), kMaxAnswer,
+                   [this, path](protocol::CallAnswer answer) {
+                     answers_[path] = std::move(answer);
+                   });
+  };
+  // More than the socket buffers of both ends hold.
+  constexpr std::size_t kLargeBytes = 7 << 20;
+  constexpr int kLargeCalls = 5;
+  call("/first", 10);
+  for (int i = 0; i < kLargeCalls; ++i)
+    call("/large/" + std::to_string(i), kLargeBytes);
+  call("/last", 10);
+  ASSERT_TRUE(RunUntil([&] { return answers_.size() == kLargeCalls + 2; }));
+  EXPECT_EQ(answers_["/first"].run_state, RunState::kUnknown);
+  EXPECT_EQ(answers_["/last"].result, ResultCode::kLinkLost);
+  EXPECT_EQ(answers_["/last"].run_state, RunState::kNotRun);
+}
+
 // Guards against a node that misses the report about a peer's new backend
 // server because the link became silent while there were no calls.
 TEST_F(PeerCallsTest, SilentIdleLinkIsReplaced) {
