Apply later bounds on connections and answers to the HTTP client

Cause: LocalExecutor created its HTTP client with the connections of the first registration and the answer bound of that time, and kept it.

Change: the bounds of a client can be changed; SetBackend and SetConfiguration do so. Connections over a lower bound end with their request.

Result: LocalExecutorTest.LaterBoundsOnConnectionsApply failed (3 requests at a server with 1 connection) and passes.

--- a/include/sesamespread/transport/http_client.h
+++ b/include/sesamespread/transport/http_client.h
@@ -100,6 +100,11 @@
   /// the request has ended.
   void Cancel(Handle handle);
 
+  /// Changes the bounds on the connections to one endpoint and on the bytes of
+  /// a body. Connections over the bound end with their request.
+  void SetBounds(std::size_t max_connections_per_endpoint,
+                 std::uint64_t max_body_bytes);
+
   /// Number of requests that have not ended, including those that wait for a
   /// connection.
   std::size_t in_flight() const;
--- a/include/sesamespread/transport/local_executor.h
+++ b/include/sesamespread/transport/local_executor.h
@@ -128,6 +128,7 @@
   using Ticket = coordination::Ticket;
 
   Ticket NewTicket();
+  void ApplyClientBounds();
   // These return false if the call is answered without its own execution.
   bool CheckRequest(Ticket ticket, Execution& execution);
   bool RegisterKey(Ticket ticket, Execution& execution);
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -90,6 +90,8 @@
               Callback callback,
               state::Duration max_idle);
   void Cancel(Handle handle);
+  void SetBounds(std::size_t max_connections_per_endpoint,
+                 std::uint64_t max_body_bytes);
   void Close();
 
   std::size_t in_flight() const { return calls_.size(); }
@@ -124,7 +126,7 @@
   void OnIdleTimer();
 
   boost::asio::io_context& context_;
-  const HttpClientOptions options_;
+  HttpClientOptions options_;
   BodyBudget<Connection> bodies_;
   /// Pools are never removed; connections and calls point to them.
   std::map<state::Endpoint, Pool> pools_;
@@ -580,7 +582,9 @@
 void HttpClient::Impl::ReleaseConnection(const ConnectionPtr& connection,
                                          bool reusable) {
   Pool* const pool = connection->pool();
-  if (reusable) {
+  const bool is_over_bound =
+      pool->connections.size() > options_.max_connections_per_endpoint;
+  if (reusable && !is_over_bound) {
     pool->idle.push_back(connection);
     ArmIdleTimer();
   } else {
@@ -599,6 +603,20 @@
   ArmDeadlineTimer();
 }
 
+void HttpClient::Impl::SetBounds(std::size_t max_connections_per_endpoint,
+                                 std::uint64_t max_body_bytes) {
+  options_.max_connections_per_endpoint = max_connections_per_endpoint;
+  options_.max_body_bytes = max_body_bytes;
+  for (auto& [endpoint, pool] : pools_) {
+    while (pool.connections.size() > max_connections_per_endpoint &&
+           !pool.idle.empty())
+      DiscardConnection(ConnectionPtr(pool.idle.front()));
+    while (!pool.waiting.empty() &&
+           pool.connections.size() < max_connections_per_endpoint)
+      AssignNextWaitingCall(&pool);
+  }
+}
+
 HttpClient::Callback HttpClient::Impl::RemoveCall(Call* call) {
   if (call->waiting)
     call->pool->waiting.erase(call->waiting_position);
@@ -740,6 +758,11 @@
   impl_->Cancel(handle);
 }
 
+void HttpClient::SetBounds(std::size_t max_connections_per_endpoint,
+                           std::uint64_t max_body_bytes) {
+  impl_->SetBounds(max_connections_per_endpoint, max_body_bytes);
+}
+
 std::size_t HttpClient::in_flight() const {
   return impl_->in_flight();
 }
--- a/lib/transport/local_executor.cc
+++ b/lib/transport/local_executor.cc
@@ -186,6 +186,7 @@
     // Only the slots or connections have changed; calls in progress continue.
     backend_ = std::move(backend);
     admission_->set_slots(backend_->slots);
+    ApplyClientBounds();
     return;
   }
   if (admission_)
@@ -197,11 +198,9 @@
     admission_.reset();
     return;
   }
-  HttpClientOptions http;
-  http.max_connections_per_endpoint = backend_->connections;
-  http.max_body_bytes = configuration_->limits().max_answer_bytes;
   if (!http_)
-    http_ = std::make_unique<HttpClient>(context_, http);
+    http_ = std::make_unique<HttpClient>(context_, HttpClientOptions{});
+  ApplyClientBounds();
   coordination::AdmissionOptions options;
   options.policy = policy_;
   options.slots = backend_->slots;
@@ -211,10 +210,18 @@
   admission_->set_leaving(leaving_);
 }
 
+void LocalExecutor::ApplyClientBounds() {
+  if (http_ && backend_) {
+    http_->SetBounds(backend_->connections,
+                     configuration_->limits().max_answer_bytes);
+  }
+}
+
 void LocalExecutor::SetConfiguration(
     std::shared_ptr<const state::Configuration> configuration) {
   configuration_ = std::move(configuration);
   keys_.SetRepeatWindow(configuration_->limits().repeat_window);
+  ApplyClientBounds();
 }
 
 void LocalExecutor::SetLeaving(bool leaving) {
--- a/unittests/transport/local_executor_test.cc
+++ b/unittests/transport/local_executor_test.cc
@@ -235,6 +235,24 @@
   EXPECT_EQ(answers_["later"].result, ResultCode::kOk);
 }
 
+// Guards against a backend server that stays limited to the connections of its
+// first registration.
+TEST_F(LocalExecutorTest, LaterBoundsOnConnectionsApply) {
+  BackendInfo backend = BackendWithOneSlot();
+  backend.slots = 3;
+  backend.connections = 1;
+  executor_.SetBackend(backend);
+  Execute("a");
+  Execute("b");
+  Execute("c");
+  ASSERT_TRUE(WaitForRequests(1));
+  context_.run_for(std::chrono::milliseconds(50));
+  EXPECT_EQ(pending_requests_.size(), 1U);
+  backend.connections = 3;
+  executor_.SetBackend(backend);
+  EXPECT_TRUE(WaitForRequests(3));
+}
+
 // Guards against a wrong run state of the calls that a forced shutdown ends.
 TEST_F(LocalExecutorTest, FailAllInFlightReportsEachRunState) {
   Execute("running");
