Open a failed link again after the stated base delay

Cause: the first delay was doubled already, so that it was 400 ms and not kReconnectBaseDelay, while a node that starts counts on links within 600 ms when it asks for leaves.

Change: the delays are 200, 400, 800 and 1600 ms.

Result: NodeDirectoryTest.AFailedLinkIsOpenedAgainAfterTheBaseDelay failed and passes.

--- a/lib/transport/node_directory.cc
+++ b/lib/transport/node_directory.cc
@@ -162,7 +162,7 @@
       unreachable.push_back(id);
       continue;
     }
-    const unsigned doublings = std::min(node.connect_attempts, 3U);
+    const unsigned doublings = std::min(node.connect_attempts - 1, 3U);
     node.next_attempt = now + std::min(kReconnectBaseDelay * (1 << doublings),
                                        kMaxReconnectDelay);
     OpenLink(node.record);
--- a/unittests/transport/node_directory_test.cc
+++ b/unittests/transport/node_directory_test.cc
@@ -80,6 +80,26 @@
   EXPECT_FALSE(changes_[1]);
 }
 
+// Guards against a first delay of twice the stated one. A node that starts asks
+// its peers for leaves and counts on links within 600 ms.
+TEST_F(NodeDirectoryTest, AFailedLinkIsOpenedAgainAfterTheBaseDelay) {
+  std::size_t attempts = 0;
+  PeerListener refusing(context_, {"127.0.0.1", 0},
+                        [&](const std::shared_ptr<PeerLink>& link) {
+                          ++attempts;
+                          link->Close("refused by the test");
+                        });
+  directory_.OnDirectRecord(MakeRecord(kPeer, refusing.port()));
+  const state::Instant start = Now();
+  directory_.OpenMissingLinks(start);
+  ASSERT_TRUE(RunUntil([&] { return attempts == 1; }));
+  context_.run_for(std::chrono::milliseconds(50));
+  directory_.OpenMissingLinks(start + std::chrono::milliseconds(199));
+  directory_.OpenMissingLinks(start + std::chrono::milliseconds(200));
+  EXPECT_TRUE(
+      RunUntil([&] { return attempts == 2; }, std::chrono::milliseconds(500)));
+}
+
 // Guards against a node that reconnects for good to an address that belongs to
 // another node.
 TEST_F(NodeDirectoryTest, ARemovedNodeIsNotReconnected) {
