Keep the last group of an IPv6 literal without port in the route's host

Cause: everything after the last colon of Host was taken for a port, so that [::1] and [::2] were the same host and [::1]:8080 another one.

Change: a colon inside brackets does not start a port.

Result: RouteTableTest.AnAddressLiteralIsNotAPort failed and passes.

--- a/lib/coordination/route_table.cc
+++ b/lib/coordination/route_table.cc
@@ -9,7 +9,11 @@
 namespace {
 
 std::string HostKey(std::string_view host) {
-  std::string key(host.substr(0, host.rfind(':')));
+  const std::size_t colon = host.rfind(':');
+  // The colons of an IPv6 literal are not followed by a port.
+  const bool has_port = colon != std::string_view::npos &&
+                        host.find(']', colon) == std::string_view::npos;
+  std::string key(has_port ? host.substr(0, colon) : host);
   std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) {
     return static_cast<char>(c >= 'A' && c <= 'Z' ? c - 'A' + 'a' : c);
   });
--- a/unittests/coordination/route_table_test.cc
+++ b/unittests/coordination/route_table_test.cc
@@ -30,7 +30,8 @@
                       {},
                       {MakeRoute("short", "a.example", "/x/"),
                        MakeRoute("long", "a.example", "/x/y/"),
-                       MakeRoute("other-host", "b.example", "/x/")},
+                       MakeRoute("other-host", "b.example", "/x/"),
+                       MakeRoute("literal", "[::1]", "/x/")},
                       {}})};
 };
 
@@ -52,6 +53,14 @@
   EXPECT_EQ(NameOf("a.example", "/x/?next=/x/y/"), "short");
 }
 
+// Guards against an IPv6 literal without a port whose last group is taken for
+// one: "[::2]" then had the same key as "[::1]".
+TEST_F(RouteTableTest, AnAddressLiteralIsNotAPort) {
+  EXPECT_EQ(NameOf("[::1]", "/x/1"), "literal");
+  EXPECT_EQ(NameOf("[::1]:8080", "/x/1"), "literal");
+  EXPECT_EQ(NameOf("[::2]", "/x/1"), "");
+}
+
 TEST_F(RouteTableTest, FindsRoutesByName) {
   ASSERT_NE(table_.Find("long"), nullptr);
   EXPECT_EQ(table_.Find("long")->prefix, "/x/y/");
