Tell plain HTTP statuses from result codes in load reports

Cause: the report kept the HTTP status of an answer without result code under the same number, so that a plain 503 was reported as "503 Unauthorized".

Change: plain statuses are kept from 1000 on and reported as "HTTP 503".

Result: LoadReportTest.DistinguishesHttpStatusesFromResultCodes passes; there was no way to write this test before.

--- a/include/sesamespread/transport/load_report.h
+++ b/include/sesamespread/transport/load_report.h
@@ -32,11 +32,16 @@
 };
 constexpr std::size_t kLoadOutcomeCount = 6;
 
+/// Added to the HTTP status of an answer without a result code, so that it
+/// differs from the result codes.
+constexpr int kPlainStatusBase = 1000;
+
 /// Counts of one kind of request.
 struct LoadCounts {
   std::uint64_t offered = 0;
   std::uint64_t outcomes[kLoadOutcomeCount] = {};
-  /// Refusals by result code, or by HTTP status for answers without one.
+  /// Refusals by result code, or by kPlainStatusBase and the HTTP status for
+  /// answers without one.
   std::map<int, std::uint64_t> refused;
   std::uint64_t repeats = 0;
   /// Requests sent without an issued key because none was available.
--- a/lib/transport/load_generator.cc
+++ b/lib/transport/load_generator.cc
@@ -75,13 +75,14 @@
   return std::chrono::seconds(value);
 }
 
-/// Returns the result code of an answer, or its HTTP status if it has none.
+/// Returns the result code of an answer, or kPlainStatusBase and its HTTP
+/// status if it has none.
 int CodeOf(const HttpResponse& response) {
   int code = 0;
   const std::string_view field =
       FieldOf(response.headers, protocol::kResultField);
   std::from_chars(field.data(), field.data() + field.size(), code);
-  return code == 0 ? response.status : code;
+  return code == 0 ? kPlainStatusBase + response.status : code;
 }
 
 /// Removes the next word from *line and returns it.
--- a/lib/transport/load_report.cc
+++ b/lib/transport/load_report.cc
@@ -64,14 +64,15 @@
 }
 
 std::string DescribeRefusal(int code) {
-  constexpr int kResultCodeEnd = 600;
   // The node delivered the backend server's answer, which has an error status.
   if (state::IsAnswered(static_cast<state::ResultCode>(code)))
     return fmt::format("an error of the backend server ({})", code);
+  if (code >= kPlainStatusBase)
+    return fmt::format("HTTP {}", code - kPlainStatusBase);
   const auto& info = state::InfoOf(static_cast<state::ResultCode>(code));
   const bool known = static_cast<int>(info.code) == code;
-  return known && code < kResultCodeEnd ? fmt::format("{} {}", code, info.name)
-                                        : fmt::format("HTTP {}", code);
+  return known ? fmt::format("{} {}", code, info.name)
+               : fmt::format("the unknown result code {}", code);
 }
 
 std::uint64_t SumOf(const std::vector<std::uint32_t>& values) {
--- a/unittests/transport/load_generator_test.cc
+++ b/unittests/transport/load_generator_test.cc
@@ -231,6 +231,19 @@
       << table;
 }
 
+// Guards against a report of "refused with 503 Unauthorized" for a plain HTTP
+// status that equals a result code.
+TEST(LoadReportTest, DistinguishesHttpStatusesFromResultCodes) {
+  LoadReport report;
+  report.kinds.resize(1);
+  report.kinds[0].name = "browsing";
+  report.kinds[0].counts.refused = {{kPlainStatusBase + 503, 4}, {503, 1}};
+  const std::string table = FormatLoadTable(report);
+  EXPECT_NE(table.find("4 refused with HTTP 503"), std::string::npos) << table;
+  EXPECT_NE(table.find("1 refused with 503 Unauthorized"), std::string::npos)
+      << table;
+}
+
 TEST(LoadReportTest, ComputesQuantiles) {
   Latencies latencies;
   for (std::uint32_t i = 1000; i > 0; --i)
