End a load run of the bench that hangs

Cause: LoadRun::Finish read the output of the verb without a bound.

Change: it uses the bounded wait of RunProgram, which is now FinishProgram, and kills the verb after kLoadTimeout.

--- a/bench/harness/process.cc
+++ b/bench/harness/process.cc
@@ -144,6 +144,11 @@
                          const std::string& log_path,
                          std::chrono::milliseconds timeout) {
   Process process(arguments, log_path);
+  return FinishProgram(process, timeout);
+}
+
+ProgramResult FinishProgram(Process& process,
+                            std::chrono::milliseconds timeout) {
   ProgramResult result;
   std::thread reader([&] { result.output = process.ReadAll(); });
   result.exit_code = process.Wait(timeout);
--- a/bench/harness/process.h
+++ b/bench/harness/process.h
@@ -76,6 +76,10 @@
   std::string output;
 };
 
+/// Reads the output of \p process until it ends, and kills it after \p timeout.
+ProgramResult FinishProgram(Process& process,
+                            std::chrono::milliseconds timeout);
+
 /// Runs a program until it ends, and kills it after \p timeout.
 ProgramResult RunProgram(const std::vector<std::string>& arguments,
                          const std::string& log_path,
--- a/bench/measure.cc
+++ b/bench/measure.cc
@@ -144,11 +144,12 @@
 }
 
 LoadResult LoadRun::Finish() {
-  const std::string output = process_->ReadAll();
-  process_->Wait(kLoadTimeout);
-  if (output.find('{') == std::string::npos)
-    throw std::runtime_error("sesamespread load printed no report: " + output);
-  return {output, csv_path_};
+  const ProgramResult result = FinishProgram(*process_, kLoadTimeout);
+  if (result.output.find('{') == std::string::npos) {
+    throw std::runtime_error("sesamespread load printed no report: " +
+                             result.output);
+  }
+  return {result.output, csv_path_};
 }
 
 std::string ImpatientCallersScenario(const Deployment& deployment,
