Inject faults in bytes into the soak

Cause: late copies of answers, breaks at a byte and bytes without end were played by single tests only, never together with kills, cuts and leaves.

They are off elsewhere, because one more fault would change what each seed of the regressions does.

--- a/bench/harness/fault_proxy.cc
+++ b/bench/harness/fault_proxy.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <list>
+#include <string>
 #include <utility>
 
 #include "sesamespread/transport/acceptor.h"
@@ -47,7 +48,8 @@
                  source_,
                  &ProxyFault::holds_answers,
                  boost::asio::steady_timer(context),
-                 {}} {}
+                 {}},
+        repeat_timer_(context) {}
 
   void Start(const tcp::endpoint& target) {
     target_.async_connect(
@@ -107,15 +109,53 @@
   }
 
   void Write(Pump& pump, std::size_t size) {
-    boost::asio::async_write(pump.to, boost::asio::buffer(pump.chunk, size),
+    const AnswerFault fault =
+        &pump == &answers_ ? fault_->answer_fault : AnswerFault::kNone;
+    const std::size_t forwarded =
+        fault == AnswerFault::kBreaksOff ? size / 2 : size;
+    is_writing_answer_ = is_writing_answer_ || &pump == &answers_;
+    boost::asio::async_write(
+        pump.to, boost::asio::buffer(pump.chunk, forwarded),
+        [self = shared_from_this(), &pump, fault, size](const error_code& error,
+                                                        std::size_t) {
+          if (&pump == &self->answers_)
+            self->is_writing_answer_ = false;
+          if (error || fault == AnswerFault::kBreaksOff)
+            return self->End();
+          if (fault == AnswerFault::kEndless)
+            return self->WriteWithoutEnd(pump);
+          if (fault == AnswerFault::kRepeats)
+            self->RepeatLater(std::string(pump.chunk.data(), size));
+          self->Read(pump);
+        });
+  }
+
+  // Writes the chunk again and again, until the client closes the connection.
+  void WriteWithoutEnd(Pump& pump) {
+    pump.chunk.fill('x');
+    boost::asio::async_write(pump.to, boost::asio::buffer(pump.chunk),
                              [self = shared_from_this(), &pump](
                                  const error_code& error, std::size_t) {
                                if (error)
                                  return self->End();
-                               self->Read(pump);
+                               self->WriteWithoutEnd(pump);
                              });
   }
 
+  // A copy that is due during another write is dropped, so that it is never
+  // written into the middle of a chunk.
+  void RepeatLater(std::string bytes) {
+    repeat_timer_.expires_after(kRepeatDelay);
+    repeat_timer_.async_wait(
+        [self = shared_from_this(),
+         bytes = std::move(bytes)](const error_code& error) {
+          if (error || self->is_writing_answer_ || !self->is_open())
+            return;
+          error_code ignored;
+          self->source_.write_some(boost::asio::buffer(bytes), ignored);
+        });
+  }
+
   void HalfClose(Pump& pump) {
     error_code ignored;
     pump.to.shutdown(tcp::socket::shutdown_send, ignored);
@@ -128,6 +168,8 @@
   tcp::socket target_;
   Pump requests_;
   Pump answers_;
+  boost::asio::steady_timer repeat_timer_;
+  bool is_writing_answer_ = false;
   bool is_stalled_ = false;
   // Directions whose end of stream has been forwarded.
   int half_closed_count_ = 0;
--- a/bench/harness/fault_proxy.h
+++ b/bench/harness/fault_proxy.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <compare>
+#include <cstdint>
 #include <memory>
 #include <thread>
 
@@ -15,6 +16,22 @@
 
 namespace sesamespread::bench {
 
+/// What a proxy does to the bytes that are sent back to the client, beside
+/// forwarding them.
+enum class AnswerFault : std::uint8_t {
+  kNone,
+  /// Sends each chunk of bytes again after kRepeatDelay.
+  kRepeats,
+  /// Forwards the first half of a chunk only, and resets the connection.
+  kBreaksOff,
+  /// Sends bytes after a chunk that are part of no message, until the client
+  /// closes the connection.
+  kEndless,
+};
+
+/// Long enough that the connection is in use for another request by then.
+constexpr std::chrono::milliseconds kRepeatDelay{40};
+
 /// Faults of a proxy. Held bytes are delivered once the fault is cleared.
 struct ProxyFault {
   /// Holds bytes sent to the target.
@@ -25,6 +42,7 @@
   std::chrono::milliseconds delay{0};
   /// Resets new connections immediately.
   bool refuses = false;
+  AnswerFault answer_fault = AnswerFault::kNone;
 
   auto operator<=>(const ProxyFault&) const = default;
 };
--- a/test/soak/route_soak.cc
+++ b/test/soak/route_soak.cc
@@ -83,7 +83,9 @@
     const char* name;
     Fault inject;
   };
+  // The last kByteFaults ones are injected only with has_byte_faults.
   static const NamedFault kFaults[];
+  static constexpr std::size_t kByteFaults = 2;
 
   // Faults. A fault has no effect if the state of the host does not allow it.
   void KillNode();
@@ -102,6 +104,8 @@
   void DisruptBackend();
   void ReplaceBackend();
   void ChangeRoutes();
+  void CorruptBackendAnswers();
+  void CorruptLinks();
 
   void Inject();
   // Runs the scheduled actions and the checks until \p end.
@@ -140,6 +144,11 @@
     proxy.SetFault(fault);
     Schedule(RandomFaultDuration(), [&proxy] { proxy.SetFault({}); });
   }
+  bench::ProxyFault RandomByteFault() {
+    bench::ProxyFault fault;
+    fault.answer_fault = static_cast<bench::AnswerFault>(1 + random_() % 3);
+    return fault;
+  }
   // Chooses the host of a fault and logs it.
   std::size_t RandomHost();
   RouteHost& HostAt(std::size_t host) { return deployment_.hosts()[host]; }
@@ -182,6 +191,8 @@
     {"disrupt backend", &RouteSoak::DisruptBackend},
     {"replace backend", &RouteSoak::ReplaceBackend},
     {"change routes", &RouteSoak::ChangeRoutes},
+    {"corrupt answers of a backend", &RouteSoak::CorruptBackendAnswers},
+    {"corrupt links", &RouteSoak::CorruptLinks},
 };
 
 void RouteSoak::AddLogLine(const std::string& text) {
@@ -294,6 +305,14 @@
   });
 }
 
+void RouteSoak::CorruptBackendAnswers() {
+  InjectProxyFault(*HostAt(RandomHost()).backend_proxy, RandomByteFault());
+}
+
+void RouteSoak::CorruptLinks() {
+  InjectProxyFault(*HostAt(RandomHost()).peer_proxy, RandomByteFault());
+}
+
 void RouteSoak::ReplaceBackend() {
   const std::size_t host = RandomHost();
   HostState& state = states_[host];
@@ -419,7 +438,9 @@
 }
 
 void RouteSoak::Inject() {
-  const NamedFault& injected_fault = kFaults[random_() % std::size(kFaults)];
+  const std::size_t count =
+      std::size(kFaults) - (options_.has_byte_faults ? 0 : kByteFaults);
+  const NamedFault& injected_fault = kFaults[random_() % count];
   AddLogLine(injected_fault.name);
   (this->*injected_fault.inject)();
   ++report_.faults;
--- a/test/soak/route_soak.h
+++ b/test/soak/route_soak.h
@@ -20,6 +20,10 @@
   std::uint64_t seed = 0;
   /// Time during which faults are injected.
   std::chrono::milliseconds duration = std::chrono::seconds(10);
+  /// Adds faults in the bytes that backend servers and other nodes send. They
+  /// are not part of the other soaks, because one more fault would change what
+  /// each of their seeds does.
+  bool has_byte_faults = false;
   /// Directory for the faults, their times and the logs of the nodes, which are
   /// written after a violation; nothing is written if it is empty.
   std::string log_directory = {};
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -16,6 +16,7 @@
                         cxxopts::value<std::uint64_t>()->default_value("0"))(
       "seeds", "Number of seeds",
       cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "bytes", "Add late copies of answers, breaks and bytes without end")(
       "seconds", "Time with faults for each seed",
       cxxopts::value<int>()->default_value("10"))(
       "logs", "Directory for the logs of failed seeds",
@@ -34,6 +35,7 @@
       SoakOptions soak;
       soak.seed = first + i;
       soak.duration = std::chrono::seconds(arguments["seconds"].as<int>());
+      soak.has_byte_faults = arguments.count("bytes") > 0;
       soak.log_directory = arguments["logs"].as<std::string>();
       const auto report = sesamespread::test::RunRouteSoak(soak);
       fmt::print(
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -54,6 +54,21 @@
                            return "Seed" + std::to_string(seed.param.seed);
                          });
 
+// Guards against bytes of a backend server or of another node that reach a
+// caller as an answer, end a node, or make an order run again.
+TEST(RouteSoakBytesTest, KeepsDeliveryGuarantees) {
+  SoakOptions options;
+  options.seed = 20261205;
+  options.duration = seconds(10);
+  options.has_byte_faults = true;
+  options.log_directory = testing::TempDir();
+  const SoakReport report = RunRouteSoak(options);
+  for (const std::string& violation : report.violations)
+    ADD_FAILURE() << violation;
+  EXPECT_GT(report.faults, 10U);
+  EXPECT_GT(report.answered, report.requests / 4);
+}
+
 class SoakCheckTest : public testing::Test {
  protected:
   static CallerRecord AnsweredRecord(const std::string& id) {
