Repeat the health check of a start until the server is known

Cause: a node made one health check when it started. If it failed, the server stayed unused until its next report: beside six busy processes CallerFaultTest waited 20 s in vain for a node whose log has no own_server_changed, while its two peers had found their servers. After a restart that is a loss of up to a report interval.

Result: RouteNodeTest.AServerThatAnswersAfterTheFirstHealthCheckIsUsed failed (20 s) and passes.

--- a/lib/transport/route_node_backend.cc
+++ b/lib/transport/route_node_backend.cc
@@ -74,9 +74,10 @@
 }
 
 void RouteNode::Impl::CheckBackend(Instant now) {
-  if (!registry_.accepts_work() || shutdown_at_)
+  const bool is_unknown = !registry_.current() && !is_health_check_answered_;
+  if ((!registry_.accepts_work() && !is_unknown) || shutdown_at_)
     return;
-  if (is_backend_down_) {
+  if (is_backend_down_ || is_unknown) {
     if (!health_check_pending_ && now >= next_health_check_)
       StartHealthCheck();
     return;
@@ -141,6 +142,7 @@
   if (outcome.kind != HttpOutcomeKind::kAnswered ||
       outcome.response.status != 200)
     return;
+  is_health_check_answered_ = true;
   const std::string instance(
       FieldOf(outcome.response.headers, interface_.fields.instance));
   const auto& current = registry_.current();
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -241,6 +241,8 @@
 
   // Set while the backend server counts as down and health checks are made.
   bool is_backend_down_ = false;
+  // Until then, health checks are made unless a report tells of the server.
+  bool is_health_check_answered_ = false;
   bool health_check_pending_ = false;
   state::Instant next_health_check_{};
 
--- a/test/route_node/route_node_test.cc
+++ b/test/route_node/route_node_test.cc
@@ -354,6 +354,23 @@
   }
 }
 
+// Guards against a server that is not used until its next report, because the
+// only health check of its node at the start failed.
+TEST_F(RouteNodeTest, AServerThatAnswersAfterTheFirstHealthCheckIsUsed) {
+  RouteHost& restarted = deployment_.stock(0);
+  deployment_.KillNode(restarted);
+  restarted.backend.reset();
+  deployment_.StartNode(restarted);
+  ASSERT_TRUE(bench::WaitFor(
+      [&] {
+        return deployment_.MetricOf(
+                   restarted, "sesamespread_configuration_version") == 1;
+      },
+      kTestTimeout));
+  deployment_.StartBackend(restarted, "i-1");
+  EXPECT_TRUE(deployment_.WaitUntilServing());
+}
+
 // Guards against idle connections that block the requests of other connections.
 TEST_F(RouteNodeTest, IdleConnectionsDoNotDelayOtherRequests) {
   using boost::asio::ip::tcp;
