--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -583,10 +583,10 @@
       failure.code != ResultCode::kLeaving)
     retry_after_.Observe(request.route->name, true, now);
   RespondFailure(request.exchange, failure,
-                 not_run ? retry_after_.Estimate(request.route->name,
-                                                 request.route->goal, now,
-                                                 random_)
-                         : Duration(0));
+                 not_run
+                     ? retry_after_.Estimate(request.route->name,
+                                             request.route->goal, now, random_)
+                     : Duration(0));
   Finish(key, not_run ? "request_refused" : "request_failed", failure.code,
          not_run ? 503 : state::InfoOf(failure.code).http_status,
          failure.log_detail.empty() ? failure.detail : failure.log_detail);
--- a/test/route_node/route_node_test.cc
+++ b/test/route_node/route_node_test.cc
@@ -363,8 +363,8 @@
   deployment_.StartNode(restarted);
   ASSERT_TRUE(bench::WaitFor(
       [&] {
-        return deployment_.MetricOf(
-                   restarted, "sesamespread_configuration_version") == 1;
+        return deployment_.MetricOf(restarted,
+                                    "sesamespread_configuration_version") == 1;
       },
       kTestTimeout));
   deployment_.StartBackend(restarted, "i-1");
