Wait until a child of the bench is executed before going on

Cause: a soak beside a compilation ended with "can't listen at 127.128.61.139:7036: Address already in use". A child that has been forked and not been executed yet has the listeners of its parent open; if it does not get the processor, a listener that the parent closes and opens again meanwhile is in use.

Change: the constructor of Process waits for the execution; the child closes the descriptor that tells of it after all others.

--- a/bench/harness/process.cc
+++ b/bench/harness/process.cc
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -23,6 +24,7 @@
 
 [[noreturn]] void Exec(const std::vector<std::string>& arguments,
                        int pipe,
+                       int started_pipe,
                        const std::string& log_path,
                        StandardOutput output) {
   // The kernel kills the child if the bench ends, even by a crash.
@@ -36,7 +38,10 @@
   // An inherited socket would stay open, and its port in use, until the child
   // ends.
   constexpr unsigned kFirstInheritedFd = STDERR_FILENO + 1;
-  close_range(kFirstInheritedFd, ~0U, 0);
+  const auto kept = static_cast<unsigned>(started_pipe);
+  if (kept > kFirstInheritedFd)
+    close_range(kFirstInheritedFd, kept - 1, 0);
+  close_range(kept + 1, ~0U, 0);
   std::vector<char*> argv;
   for (const std::string& argument : arguments)
     argv.push_back(const_cast<char*>(argument.c_str()));
@@ -67,15 +72,24 @@
                  const std::string& log_path,
                  StandardOutput output) {
   int pipe_fds[2];
-  if (pipe2(pipe_fds, O_CLOEXEC) != 0)
+  // Its end in the child closes with the execution, after all others.
+  int started_fds[2];
+  if (pipe2(pipe_fds, O_CLOEXEC) != 0 || pipe2(started_fds, O_CLOEXEC) != 0)
     throw std::runtime_error("cannot create a pipe");
   pid_ = fork();
   if (pid_ < 0)
     throw std::runtime_error("cannot fork");
   if (pid_ == 0)
-    Exec(arguments, pipe_fds[1], log_path, output);
+    Exec(arguments, pipe_fds[1], started_fds[1], log_path, output);
   close(pipe_fds[1]);
   output_fd_ = pipe_fds[0];
+  // Until then the child has the sockets of this process open, and their ports
+  // stay in use if this process closes them.
+  close(started_fds[1]);
+  char unused = 0;
+  while (read(started_fds[0], &unused, 1) < 0 && errno == EINTR) {
+  }
+  close(started_fds[0]);
 }
 
 Process::~Process() {
