Count a node of the soak as disturbed until the soak starts it again

The disturbance was counted as over at 15.8 s, and callers of host-4 were refused by the kernel until the new process listened. Nothing was there that could have answered.

Change: the time from the kill or stop to the start of the next process is a disturbance, however long the soak takes.

--- a/test/soak/route_soak.cc
+++ b/test/soak/route_soak.cc
@@ -59,6 +59,8 @@
   // Highest version of the routes that this node process has reported.
   double version = 0;
   Instant stop_sent;
+  // When the node was last killed or told to stop.
+  Instant down_since;
   // Set from the first report of a leave until the backend server is replaced.
   bool is_leaving = false;
   // Time at which the leave was confirmed.
@@ -208,6 +210,7 @@
     return;
   AddLogLine(fmt::format("kill host-{} for {} ms", host, down.count()));
   states_[host].node = NodeState::kDown;
+  states_[host].down_since = transport::Now();
   AddDisturbance(host, down);
   deployment_.KillNode(HostAt(host));
   Schedule(down, [this, host] { StartNode(host); });
@@ -237,6 +240,7 @@
   AddLogLine(fmt::format("stop host-{}", host));
   states_[host].node = NodeState::kStopping;
   states_[host].stop_sent = transport::Now();
+  states_[host].down_since = states_[host].stop_sent;
   // A stopping node refuses callers from some point on, and then exits.
   AddDisturbance(host, kMaxShutdownTime);
   HostAt(host).node->Signal(SIGTERM);
@@ -359,6 +363,9 @@
 
 void RouteSoak::StartNode(std::size_t host) {
   deployment_.StartNode(HostAt(host));
+  // The soak may start the node later than planned: its thread waits for
+  // reports to nodes that do not answer.
+  disturbances_.push_back({host, states_[host].down_since, transport::Now()});
   states_[host].node = NodeState::kRunning;
   states_[host].version = 0;
   AddLogLine(fmt::format("start host-{}", host));
