Use one body for both soak tests and the bench's reading of memory

Cause: RouteSoakBytesTest repeated the body of RouteSoakTest, and ServerFaultTest parsed /proc for the memory of a process, which bench::UsageOf does.

Change: ExpectDeliveryGuarantees serves both soak tests; ServerFaultTest calls UsageOf. Seeds, checks and bounds are the same (160 MB in KiB).

--- a/test/route_node/server_fault_test.cc
+++ b/test/route_node/server_fault_test.cc
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <fstream>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -252,24 +251,12 @@
   };
 }
 
-// Resident memory of a process in MB.
-std::size_t ResidentMb(pid_t pid) {
-  std::ifstream file(fmt::format("/proc/{}/status", pid));
-  std::string word;
-  while (file >> word) {
-    std::size_t kilobytes = 0;
-    if (word == "VmRSS:" && file >> kilobytes)
-      return kilobytes >> 10;
-  }
-  return 0;
-}
-
 // Guards against a server that exhausts the memory of its node or holds a
 // request past its time by bytes without end: fast on many connections at once,
 // and slowly.
 TEST_F(ServerFaultTest, BytesWithoutEndAreBounded) {
   // The memory of the smallest hosts of the users.
-  constexpr std::size_t kMaxMemoryMb = 160;
+  constexpr long kMaxMemoryKib = 160 << 10;
   constexpr milliseconds kBudget{1200};
   constexpr int kConnections = 20;
   std::atomic<const Endless*> tried = nullptr;
@@ -289,7 +276,7 @@
   });
   const pid_t node = deployment_->stock(0).node->pid();
   const std::vector<Endless> all = EndlessBytes();
-  std::size_t peak_mb = 0;
+  long peak_kib = 0;
   int number = 0;
   for (const Endless& bytes : all) {
     tried = &bytes;
@@ -315,13 +302,13 @@
         });
       }
       std::this_thread::sleep_for(kBudget / 2);
-      peak_mb = std::max(peak_mb, ResidentMb(node));
+      peak_kib = std::max(peak_kib, bench::UsageOf(node).resident_kib);
       for (std::thread& caller : callers)
         caller.join();
     }
-    EXPECT_LT(peak_mb, kMaxMemoryMb) << bytes.name;
+    EXPECT_LT(peak_kib, kMaxMemoryKib) << bytes.name;
   }
-  RecordProperty("peak_mb", static_cast<int>(peak_mb));
+  RecordProperty("peak_kib", static_cast<int>(peak_kib));
   // The node is still there.
   EXPECT_TRUE(deployment_->IsReady(deployment_->stock(0)));
 }
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -34,10 +34,11 @@
 
 class RouteSoakTest : public testing::TestWithParam<SoakSeed> {};
 
-TEST_P(RouteSoakTest, KeepsDeliveryGuarantees) {
+void ExpectDeliveryGuarantees(std::uint64_t seed, bool has_byte_faults) {
   SoakOptions options;
-  options.seed = GetParam().seed;
+  options.seed = seed;
   options.duration = seconds(10);
+  options.has_byte_faults = has_byte_faults;
   options.log_directory = testing::TempDir();
   const SoakReport report = RunRouteSoak(options);
   for (const std::string& violation : report.violations)
@@ -47,6 +48,10 @@
   EXPECT_GT(report.answered, report.requests / 4);
 }
 
+TEST_P(RouteSoakTest, KeepsDeliveryGuarantees) {
+  ExpectDeliveryGuarantees(GetParam().seed, false);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          RouteSoakTest,
                          testing::ValuesIn(kSeeds),
@@ -57,18 +62,9 @@
 // Guards against bytes of a backend server or of another node that reach a
 // caller as an answer, end a node, or make an order run again.
 TEST(RouteSoakBytesTest, KeepsDeliveryGuarantees) {
-  SoakOptions options;
   // Found bytes without end that completed the body of an answer which the
   // stand-in server had broken off.
-  options.seed = 20261404;
-  options.duration = seconds(10);
-  options.has_byte_faults = true;
-  options.log_directory = testing::TempDir();
-  const SoakReport report = RunRouteSoak(options);
-  for (const std::string& violation : report.violations)
-    ADD_FAILURE() << violation;
-  EXPECT_GT(report.faults, 10U);
-  EXPECT_GT(report.answered, report.requests / 4);
+  ExpectDeliveryGuarantees(20261404, true);
 }
 
 class SoakCheckTest : public testing::Test {
