Log and export the rate limit that a backend server states

Change: the node reads the field and writes server_rate_limit_changed with the old and the new limit, the requests sent so far and the queue; gauges sesamespread_server_rate_limit and sesamespread_server_requests. The requests themselves are handled as before.

--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "sesamespread/coordination/overload.h"
+#include "sesamespread/coordination/request_rate_limit.h"
 #include "sesamespread/coordination/server_queue.h"
 #include "sesamespread/state/backend_report.h"
 #include "sesamespread/transport/call_executor.h"
@@ -96,6 +97,18 @@
 
   coordination::QueueLoad load() const { return queue_.load(); }
 
+  /// Applies the statements of the backend server in the header of an answer
+  /// to a request that was sent at \p sent, including health checks.
+  void OnServerHeaders(const std::vector<protocol::Header>& headers,
+                       state::Instant sent);
+
+  /// Requests per second to which the backend server limits all nodes; nullopt
+  /// if it states no limit.
+  std::optional<double> rate_limit() const { return rate_limit_.per_second(); }
+
+  /// Requests sent to backend servers since the start.
+  std::uint64_t sent_requests() const { return sent_requests_; }
+
   /// The admission threshold: calls with a lower priority value are admitted.
   std::uint32_t threshold() const { return overload_.threshold(); }
   std::size_t in_flight() const { return calls_.size(); }
@@ -110,6 +123,8 @@
     state::Instant received_at;
     state::Instant started;
     std::string id;
+    // Instance of the backend server at the start.
+    std::string instance;
     std::uint32_t calls_made = 0;
   };
 
@@ -148,6 +163,8 @@
   state::Instant last_answer_;
   std::unique_ptr<HttpClient> http_;
   coordination::ServerQueue queue_;
+  coordination::RequestRateLimit rate_limit_;
+  std::uint64_t sent_requests_ = 0;
   coordination::OverloadThreshold overload_;
   // Overload of downstream services, as reported in the answers to the calls
   // that the requests of each route make.
--- a/include/sesamespread/transport/field_names.h
+++ b/include/sesamespread/transport/field_names.h
@@ -27,6 +27,11 @@
   std::string caller;
   /// Instance of the backend server that answered.
   std::string instance;
+  /// Requests per second that the backend server accepts from all nodes
+  /// together. Set in all of its answers while the limit is in force.
+  std::string rate_limit;
+  /// Set in all answers of a backend server that leaves.
+  std::string leaving;
 
   auto operator<=>(const FieldNames&) const = default;
 };
--- a/include/sesamespread/transport/metrics.h
+++ b/include/sesamespread/transport/metrics.h
@@ -20,6 +20,8 @@
   double in_progress = 0;
   double queued = 0;
   double limit = 0;
+  double server_rate_limit = 0;
+  double server_requests = 0;
   double threshold = 0;
   double configuration_version = 0;
   double nodes_alive = 0;
--- a/include/sesamespread/transport/server_load.h
+++ b/include/sesamespread/transport/server_load.h
@@ -1,5 +1,5 @@
 /// \file
-/// Parser of the load that a backend server reports in a header field.
+/// Parsers of what a backend server reports of its load in header fields.
 #ifndef SESAMESPREAD_TRANSPORT_SERVER_LOAD_H_
 #define SESAMESPREAD_TRANSPORT_SERVER_LOAD_H_
 
@@ -23,6 +23,10 @@
 /// any other text.
 std::optional<ServerLoad> ParseServerLoad(std::string_view text);
 
+/// Parses a decimal number of requests per second, zero or more; nullopt for
+/// any other text.
+std::optional<double> ParseRateLimit(std::string_view text);
+
 }  // namespace sesamespread::transport
 
 #endif  // SESAMESPREAD_TRANSPORT_SERVER_LOAD_H_
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -106,6 +106,7 @@
   queue_.SetSlots(backend_ ? backend_->slots : 0);
   if (same_instance)
     return;
+  rate_limit_.Reset();
   unreachable_at_.reset();
   new_work_stopped_at_.reset();
   for (const auto& refusal : queue_.RefuseAll(ResultCode::kNoBackendServer))
@@ -237,6 +238,8 @@
   call.is_running = true;
   call.started = Now();
   running_[call.id] = handle;
+  call.instance = backend_->identity.instance;
+  ++sent_requests_;
   HttpRequest http = MakeHttpRequest(call);
   http.body = std::move(call.request.body);
   call.http = http_->Send(
@@ -322,6 +325,9 @@
   }
   if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load)))
     queue_.OnReportedLoad(load->running + load->waiting);
+  // The answer of an earlier instance says nothing about the current one.
+  if (backend_ && call.instance == backend_->identity.instance)
+    OnServerHeaders(headers, call.started);
   const bool misdirected = response.status == kMisdirectedStatus;
   if (misdirected || !FieldOf(headers, fields_.not_executed).empty()) {
     return FailedAnswer(
@@ -366,6 +372,36 @@
   return answer;
 }
 
+void BackendExecutor::OnServerHeaders(
+    const std::vector<protocol::Header>& headers,
+    Instant sent) {
+  const std::string_view text = FieldOf(headers, fields_.rate_limit);
+  const auto stated = ParseRateLimit(text);
+  if (!stated && !text.empty()) {
+    if (log_.ShouldLog(ThreadRole::kData, LogLevel::kWarning,
+                       "server_rate_limit_malformed"))
+      log_.Write(ThreadRole::kData, LogLevel::kWarning,
+                 "server_rate_limit_malformed", {{"value", std::string(text)}});
+    return;
+  }
+  const auto previous = rate_limit_.per_second();
+  if (!rate_limit_.OnAnswer(stated, sent, Now()))
+    return;
+  const auto describe = [](std::optional<double> per_second) {
+    return per_second ? fmt::format("{:.3f}", *per_second) : "none";
+  };
+  const coordination::QueueLoad load = queue_.load();
+  if (log_.ShouldLog(ThreadRole::kData, LogLevel::kInfo,
+                     "server_rate_limit_changed"))
+    log_.Write(ThreadRole::kData, LogLevel::kInfo, "server_rate_limit_changed",
+               {{"instance", backend_ ? backend_->identity.instance : ""},
+                {"previous_per_second", describe(previous)},
+                {"per_second", describe(stated)},
+                {"sent_requests", std::to_string(sent_requests_)},
+                {"in_progress", std::to_string(load.in_progress)},
+                {"queued", std::to_string(load.queued)}});
+}
+
 void BackendExecutor::OnUnreachable() {
   if (!unreachable_at_) {
     log_.Write(ThreadRole::kData, LogLevel::kWarning, "backend_unreachable",
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -69,6 +69,9 @@
   gauges.in_progress = load.in_progress;
   gauges.queued = load.queued;
   gauges.limit = load.limit;
+  gauges.server_rate_limit = backend_executor_.rate_limit().value_or(0);
+  gauges.server_requests =
+      static_cast<double>(backend_executor_.sent_requests());
   gauges.threshold = backend_executor_.threshold();
   gauges.configuration_version = static_cast<double>(version());
   gauges.nodes_known = static_cast<double>(directory_.known_nodes());
--- a/lib/transport/server_load.cc
+++ b/lib/transport/server_load.cc
@@ -1,9 +1,10 @@
 /// \file
-/// Parser of the load that a backend server reports in a header field.
+/// Parsers of what a backend server reports of its load in header fields.
 #include "sesamespread/transport/server_load.h"
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace sesamespread::transport {
 
@@ -24,4 +25,15 @@
   return ServerLoad{numbers[0], numbers[1], numbers[2]};
 }
 
+std::optional<double> ParseRateLimit(std::string_view text) {
+  double per_second = 0;
+  const char* const end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, per_second);
+  const bool is_number = result.ec == std::errc() && result.ptr == end &&
+                         std::isfinite(per_second);
+  if (!is_number || per_second < 0)
+    return std::nullopt;
+  return per_second;
+}
+
 }  // namespace sesamespread::transport
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -20,8 +20,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const FieldNames kFields = {"X-Id",   "X-Budget",  "X-Seal",   "X-Expect",
-                            "X-Load", "X-Not-Run", "X-Caller", "X-Instance"};
+const FieldNames kFields = {"X-Id",    "X-Budget",  "X-Seal",   "X-Expect",
+                            "X-Load",  "X-Not-Run", "X-Caller", "X-Instance",
+                            "X-Limit", "X-Leaving"};
 constexpr state::NodeId kSelf = 5;
 
 state::RouteSet MakeRoutes() {
--- a/unittests/transport/server_load_test.cc
+++ b/unittests/transport/server_load_test.cc
@@ -18,5 +18,15 @@
     EXPECT_EQ(ParseServerLoad(text), std::nullopt) << text;
 }
 
+TEST(ServerLoadTest, ParsesARateLimit) {
+  EXPECT_EQ(ParseRateLimit("44.8"), 44.8);
+  EXPECT_EQ(ParseRateLimit("0"), 0);
+}
+
+TEST(ServerLoadTest, RejectsMalformedRateLimits) {
+  for (const char* text : {"", "-1", "nan", "inf", "4x", " 4", "4 ", "4,5"})
+    EXPECT_EQ(ParseRateLimit(text), std::nullopt) << text;
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
