Keep the rate that a backend server states

Cause: the node read no limit but that of calls in progress.

Change: the queue of the node beside the server, which every request passes, starts calls by a token bucket of the stated rate. The expected wait that is reported to other nodes and to the overload threshold contains the wait for it. Calls that another server may take wait 20 ms at most, so that one limited server is not taken for an overload of its service. The health check at the start of a node tells it the limit again.

Why it works: one place counts all requests of the server, so that the sum over all nodes is bounded by rate * t + 0.1 s of it + 1 whatever the nodes believe.

--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -18,6 +18,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "sesamespread/coordination/request_rate_limit.h"
 #include "sesamespread/coordination/ticket.h"
 #include "sesamespread/state/result_code.h"
 #include "sesamespread/state/time.h"
@@ -37,6 +38,10 @@
   /// last factor. The factor of rank 0 is small, since a request with many
   /// sequential calls incurs the queueing delay at each of them.
   std::array<double, 3> goal_factors = {0.1, 1.0, 1.25};
+  /// Longest wait for the rate limit of a call that another server may take. A
+  /// queue of such calls would report an overload of the service, although only
+  /// this server is limited.
+  state::Duration max_rate_wait = std::chrono::milliseconds(20);
   /// Weight of one answer in the exponential moving averages of service times.
   double gain = 0.1;
   /// Service time assumed before the first answer.
@@ -55,6 +60,8 @@
   state::Duration max_wait{0};
   /// Rank of the request, or of the request on whose behalf the call is made.
   std::uint32_t priority = 0;
+  /// The sender tries another server if this one refuses the call.
+  bool has_alternatives = false;
 };
 
 enum class QueueOutcome : std::uint8_t { kStart, kQueued, kRefused };
@@ -87,6 +94,9 @@
   std::uint32_t limit = 0;
   /// Expected wait of a call at the end of the queue.
   state::Duration expected_wait{0};
+  /// Share of the slots, or of the rate limit's burst if less of it is left,
+  /// that is unused; 0 to 1.
+  double unused_share = 1;
 
   auto operator<=>(const QueueLoad&) const = default;
 };
@@ -97,8 +107,9 @@
 /// objectives are met while calls of different length share the server. Calls
 /// that can no longer meet their objective start last.
 ///
-/// Invariants: calls wait only while the limit is reached; no call starts after
-/// its deadline; each offered call is started, refused or cancelled once.
+/// Invariants: calls wait only while the limit of calls in progress or the rate
+/// limit is reached; no call starts after its deadline; each offered call is
+/// started, refused or cancelled once.
 class ServerQueue {
  public:
   explicit ServerQueue(ServerQueueOptions options = {});
@@ -134,7 +145,12 @@
   /// its start, occupy slots as well.
   void OnReportedLoad(std::uint32_t requests);
 
-  QueueLoad load() const;
+  /// The rate limit that the backend server states. TryAcquire is called by the
+  /// queue only.
+  RequestRateLimit& rate_limit() { return rate_limit_; }
+  const RequestRateLimit& rate_limit() const { return rate_limit_; }
+
+  QueueLoad load(state::Instant now) const;
 
   /// Expected wait of a call like \p call if it was offered now.
   state::Duration ExpectedWaitOf(const QueuedCall& call,
@@ -155,7 +171,12 @@
   std::uint32_t limit() const;
   // Position in the queue: calls with an earlier value start first.
   state::Instant OrderOf(const QueuedCall& call, state::Instant now) const;
-  state::Duration ExpectedWaitBehind(std::size_t ahead) const;
+  state::Duration ExpectedWaitBehind(std::size_t ahead,
+                                     state::Instant now) const;
+  // Wait that the sender of \p call accepts behind \p ahead others.
+  state::Duration AcceptedWait(const QueuedCall& call,
+                               std::size_t ahead,
+                               state::Instant now) const;
   std::size_t CountAhead(state::Instant order) const;
   void StartNext(state::Instant now, QueueActions& actions);
   void Remove(Ticket ticket);
@@ -166,6 +187,7 @@
   std::uint32_t in_progress_ = 0;
   // Requests in progress at the backend server that this node did not send.
   std::uint32_t external_requests_ = 0;
+  RequestRateLimit rate_limit_;
   std::unordered_map<Ticket, Waiting> waiting_;
   // The tickets of waiting_ in the order in which they start.
   std::set<Order> order_;
--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -66,6 +66,8 @@
   /// True if a backend server that receives this call counts it as a repeat:
   /// the call was sent before, or the run that makes it is itself a repeat.
   bool is_repeat = false;
+  /// True if the sender tries another server if this one refuses the call.
+  bool has_alternatives = false;
 
   auto operator<=>(const CallRequest&) const = default;
 };
--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -16,7 +16,6 @@
 #include <vector>
 
 #include "sesamespread/coordination/overload.h"
-#include "sesamespread/coordination/request_rate_limit.h"
 #include "sesamespread/coordination/server_queue.h"
 #include "sesamespread/state/backend_report.h"
 #include "sesamespread/transport/call_executor.h"
@@ -95,7 +94,7 @@
   /// made; 1 if there is no such request.
   double RemainingCallShare(std::string_view parent_id) const;
 
-  coordination::QueueLoad load() const { return queue_.load(); }
+  coordination::QueueLoad load() const;
 
   /// Applies the statements of the backend server in the header of an answer
   /// to a request that was sent at \p sent, including health checks.
@@ -104,7 +103,9 @@
 
   /// Requests per second to which the backend server limits all nodes; nullopt
   /// if it states no limit.
-  std::optional<double> rate_limit() const { return rate_limit_.per_second(); }
+  std::optional<double> rate_limit() const {
+    return queue_.rate_limit().per_second();
+  }
 
   /// Requests sent to backend servers since the start.
   std::uint64_t sent_requests() const { return sent_requests_; }
@@ -163,7 +164,6 @@
   state::Instant last_answer_;
   std::unique_ptr<HttpClient> http_;
   coordination::ServerQueue queue_;
-  coordination::RequestRateLimit rate_limit_;
   std::uint64_t sent_requests_ = 0;
   coordination::OverloadThreshold overload_;
   // Overload of downstream services, as reported in the answers to the calls
--- a/lib/coordination/server_queue.cc
+++ b/lib/coordination/server_queue.cc
@@ -56,11 +56,22 @@
   return now + FromMicros(to_goal * options_.goal_factors.at(rank));
 }
 
-Duration ServerQueue::ExpectedWaitBehind(std::size_t ahead) const {
+Duration ServerQueue::ExpectedWaitBehind(std::size_t ahead, Instant now) const {
+  const Duration rate_wait = rate_limit_.WaitBehind(ahead, now);
   if (in_progress_ < limit())
-    return Duration(0);
-  return FromMicros(service_time_us_ * static_cast<double>(ahead + 1) /
-                    limit());
+    return rate_wait;
+  return std::max(
+      rate_wait,
+      FromMicros(service_time_us_ * static_cast<double>(ahead + 1) / limit()));
+}
+
+Duration ServerQueue::AcceptedWait(const QueuedCall& call,
+                                   std::size_t ahead,
+                                   Instant now) const {
+  const bool waits_for_rate = rate_limit_.WaitBehind(ahead, now) > Duration(0);
+  return call.has_alternatives && waits_for_rate
+             ? std::min(call.max_wait, options_.max_rate_wait)
+             : call.max_wait;
 }
 
 std::size_t ServerQueue::CountAhead(Instant order) const {
@@ -85,14 +96,17 @@
     decision.code = ResultCode::kDeadlineBeforeStart;
     return decision;
   }
-  if (in_progress_ < limit()) {
+  // Calls that wait for the rate limit start before this one.
+  if (in_progress_ < limit() && waiting_.empty() &&
+      rate_limit_.TryAcquire(now)) {
     ++in_progress_;
     return decision;
   }
   const Instant order = OrderOf(call, now);
-  decision.expected_wait = ExpectedWaitBehind(CountAhead(order));
+  const std::size_t ahead = CountAhead(order);
+  decision.expected_wait = ExpectedWaitBehind(ahead, now);
   const bool in_time =
-      decision.expected_wait <= call.max_wait &&
+      decision.expected_wait <= AcceptedWait(call, ahead, now) &&
       now + decision.expected_wait + ServiceTime(call.route) <= call.deadline;
   if (!in_time || waiting_.size() >= options_.max_queued) {
     decision.outcome = QueueOutcome::kRefused;
@@ -123,12 +137,14 @@
       }
     }
     const Ticket ticket = next->second;
-    const bool too_late = IsTooLate(waiting_.at(ticket).call, now);
-    Remove(ticket);
-    if (too_late) {
+    if (IsTooLate(waiting_.at(ticket).call, now)) {
+      Remove(ticket);
       actions.refuse.push_back({ticket, ResultCode::kDeadlineBeforeStart});
       continue;
     }
+    if (!rate_limit_.TryAcquire(now))
+      return;
+    Remove(ticket);
     ++in_progress_;
     actions.start.push_back(ticket);
   }
@@ -187,12 +203,15 @@
 
 Duration ServerQueue::ExpectedWaitOf(const QueuedCall& call,
                                      Instant now) const {
-  return ExpectedWaitBehind(CountAhead(OrderOf(call, now)));
+  return ExpectedWaitBehind(CountAhead(OrderOf(call, now)), now);
 }
 
-QueueLoad ServerQueue::load() const {
+QueueLoad ServerQueue::load(Instant now) const {
+  const double unused_slots =
+      1 - static_cast<double>(std::min(in_progress_, limit())) / limit();
   return {in_progress_, static_cast<std::uint32_t>(waiting_.size()), limit(),
-          ExpectedWaitBehind(waiting_.size())};
+          ExpectedWaitBehind(waiting_.size(), now),
+          std::min(unused_slots, rate_limit_.UnusedShare(now))};
 }
 
 }  // namespace sesamespread::coordination
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -146,7 +146,7 @@
               message.caller_identity, route, message.priority,
               static_cast<std::uint64_t>(message.goal_remaining.count()),
               static_cast<std::uint64_t>(message.max_wait.count()),
-              message.from_backend, message.is_repeat)
+              message.from_backend, message.is_repeat, message.has_alternatives)
               .Union()};
 }
 
@@ -305,6 +305,7 @@
       state::Duration(static_cast<std::int64_t>(body.max_wait_us()));
   message.from_backend = body.from_backend();
   message.is_repeat = body.is_repeat();
+  message.has_alternatives = body.has_alternatives();
   return message;
 }
 
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -102,17 +102,24 @@
   const bool same_instance = backend && backend_ &&
                              backend->identity == backend_->identity &&
                              backend->service == backend_->service;
+  const bool is_first = !backend_;
   backend_ = std::move(backend);
   queue_.SetSlots(backend_ ? backend_->slots : 0);
   if (same_instance)
     return;
-  rate_limit_.Reset();
+  // The limit of the first instance may be known from its health check.
+  if (!is_first)
+    queue_.rate_limit().Reset();
   unreachable_at_.reset();
   new_work_stopped_at_.reset();
   for (const auto& refusal : queue_.RefuseAll(ResultCode::kNoBackendServer))
     PostRefusal(refusal.ticket, refusal.code);
 }
 
+coordination::QueueLoad BackendExecutor::load() const {
+  return queue_.load(Now());
+}
+
 void BackendExecutor::StopNewWork(Duration queue_drain_time) {
   if (new_work_stopped_at_)
     return;
@@ -167,6 +174,7 @@
   queued_call.deadline = call.deadline;
   queued_call.max_wait = call.request.max_wait;
   queued_call.priority = call.request.priority;
+  queued_call.has_alternatives = call.request.has_alternatives;
   return queued_call;
 }
 
@@ -384,13 +392,14 @@
                  "server_rate_limit_malformed", {{"value", std::string(text)}});
     return;
   }
-  const auto previous = rate_limit_.per_second();
-  if (!rate_limit_.OnAnswer(stated, sent, Now()))
+  const Instant now = Now();
+  const auto previous = rate_limit();
+  if (!queue_.rate_limit().OnAnswer(stated, sent, now))
     return;
   const auto describe = [](std::optional<double> per_second) {
     return per_second ? fmt::format("{:.3f}", *per_second) : "none";
   };
-  const coordination::QueueLoad load = queue_.load();
+  const coordination::QueueLoad load = queue_.load(now);
   if (log_.ShouldLog(ThreadRole::kData, LogLevel::kInfo,
                      "server_rate_limit_changed"))
     log_.Write(ThreadRole::kData, LogLevel::kInfo, "server_rate_limit_changed",
@@ -469,12 +478,8 @@
 
 void BackendExecutor::AddLoad(const Call& call, protocol::CallAnswer& answer) {
   const Instant now = Now();
-  const coordination::QueueLoad load = queue_.load();
-  overload_.Observe(
-      load.expected_wait,
-      1 - static_cast<double>(std::min(load.in_progress, load.limit)) /
-              load.limit,
-      now);
+  const coordination::QueueLoad load = queue_.load(now);
+  overload_.Observe(load.expected_wait, load.unused_share, now);
   if (overload_.threshold() < state::kPriorityCount)
     answer.thresholds.push_back({call.request.service, overload_.threshold()});
   for (const auto& point :
@@ -541,7 +546,7 @@
       return;
     tick_scheduled_ = false;
     Apply(queue_.Tick(Now()));
-    if (queue_.load().queued > 0)
+    if (load().queued > 0)
       ScheduleTick();
   });
 }
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -340,6 +340,7 @@
   call.remaining = request.deadline - now;
   call.goal_remaining = std::max(request.goal - now, Duration(0));
   call.max_wait = max_wait;
+  call.has_alternatives = !request.is_last_pass;
   const auto done = [this, key, number,
                      alive = alive_](const protocol::CallAnswer& answer) {
     if (*alive)
--- a/lib/transport/route_node_backend.cc
+++ b/lib/transport/route_node_backend.cc
@@ -128,16 +128,20 @@
 
 void RouteNode::Impl::StartHealthCheck() {
   health_check_pending_ = true;
-  next_health_check_ = Now() + kHealthCheckInterval;
+  const Instant sent = Now();
+  next_health_check_ = sent + kHealthCheckInterval;
   HttpRequest request;
   request.target = HealthCheckPath();
   request.headers = {{"Connection", "close"}};
-  health_client_.Send(
-      settings_.backend, std::move(request), Now() + kHealthCheckTimeout,
-      [this](const HttpOutcome& outcome) { OnHealthCheckResult(outcome); });
+  health_client_.Send(settings_.backend, std::move(request),
+                      sent + kHealthCheckTimeout,
+                      [this, sent](const HttpOutcome& outcome) {
+                        OnHealthCheckResult(outcome, sent);
+                      });
 }
 
-void RouteNode::Impl::OnHealthCheckResult(const HttpOutcome& outcome) {
+void RouteNode::Impl::OnHealthCheckResult(const HttpOutcome& outcome,
+                                          Instant sent) {
   health_check_pending_ = false;
   if (outcome.kind != HttpOutcomeKind::kAnswered ||
       outcome.response.status != 200)
@@ -146,6 +150,8 @@
   const std::string instance(
       FieldOf(outcome.response.headers, interface_.fields.instance));
   const auto& current = registry_.current();
+  if (!current || current->identity.instance == instance)
+    backend_executor_.OnServerHeaders(outcome.response.headers, sent);
   if (!current) {
     if (unconfirmed_report_)
       return;
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -150,7 +150,7 @@
   void MarkBackendDown(std::string_view reason);
   void MarkBackendUp(std::string_view reason);
   void StartHealthCheck();
-  void OnHealthCheckResult(const HttpOutcome& outcome);
+  void OnHealthCheckResult(const HttpOutcome& outcome, state::Instant sent);
   std::string HealthCheckPath() const;
 
   void Tick();
--- a/unittests/protocol/codec_test.cc
+++ b/unittests/protocol/codec_test.cc
@@ -32,6 +32,7 @@
   request.route = "r-1";
   request.from_backend = true;
   request.is_repeat = true;
+  request.has_alternatives = true;
   return request;
 }
 
