Take the leave that a backend server states in its answers

Servers that leave say so in every answer.

Cause: a leave was taken from reports and withdrawals only; the statement in the answers was passed on unread.

Change: the node beside the server handles the statement like a withdrawal of the current instance: no new work, a record for the other nodes and for the store. The record is sent before the answer on the same links, so that a node that passes the answer on has it when this node restarts. An answer to a request of an earlier instance is ignored. A health check that states the leave after a restart of the node does not make the server a serving one.

--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -96,8 +96,14 @@
 
   coordination::QueueLoad load() const;
 
-  /// Applies the statements of the backend server in the header of an answer
-  /// to a request that was sent at \p sent, including health checks.
+  /// \p observer is called for each answer in which the current backend server
+  /// states that it leaves.
+  void SetLeaveObserver(std::function<void()> observer) {
+    leave_observer_ = std::move(observer);
+  }
+
+  /// Applies the statements of the current backend server in the header of an
+  /// answer to a request that was sent at \p sent, including health checks.
   void OnServerHeaders(const std::vector<protocol::Header>& headers,
                        state::Instant sent);
 
@@ -138,6 +144,7 @@
   void OnOutcome(Handle handle, HttpOutcome outcome);
   protocol::CallAnswer AnswerOf(const Call& call, HttpOutcome& outcome);
   protocol::CallAnswer AnswerOfResponse(const Call& call, HttpOutcome& outcome);
+  void ApplyRateLimit(std::string_view text, state::Instant sent);
   void OnUnreachable();
   void Apply(const coordination::QueueActions& actions);
   void PostRefusal(Handle handle, state::ResultCode code);
@@ -164,6 +171,7 @@
   state::Instant last_answer_;
   std::unique_ptr<HttpClient> http_;
   coordination::ServerQueue queue_;
+  std::function<void()> leave_observer_;
   std::uint64_t sent_requests_ = 0;
   coordination::OverloadThreshold overload_;
   // Overload of downstream services, as reported in the answers to the calls
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -383,7 +383,12 @@
 void BackendExecutor::OnServerHeaders(
     const std::vector<protocol::Header>& headers,
     Instant sent) {
-  const std::string_view text = FieldOf(headers, fields_.rate_limit);
+  ApplyRateLimit(FieldOf(headers, fields_.rate_limit), sent);
+  if (leave_observer_ && !FieldOf(headers, fields_.leaving).empty())
+    leave_observer_();
+}
+
+void BackendExecutor::ApplyRateLimit(std::string_view text, Instant sent) {
   const auto stated = ParseRateLimit(text);
   if (!stated && !text.empty()) {
     if (log_.ShouldLog(ThreadRole::kData, LogLevel::kWarning,
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -181,6 +181,7 @@
       [this](state::NodeId node, bool is_open, const std::string& reason) {
         directory_.OnLinkChange(node, is_open, reason);
       });
+  backend_executor_.SetLeaveObserver([this] { OnStatedLeave(); });
   entry_.SetVersionObserver([this](state::NodeId node, std::uint64_t version) {
     OnPeerRoutesVersion(node, version);
   });
--- a/lib/transport/route_node_backend.cc
+++ b/lib/transport/route_node_backend.cc
@@ -153,6 +153,11 @@
   if (!current || current->identity.instance == instance)
     backend_executor_.OnServerHeaders(outcome.response.headers, sent);
   if (!current) {
+    if (!FieldOf(outcome.response.headers, interface_.fields.leaving).empty()) {
+      if (!instance.empty())
+        RecordLeave(instance);
+      return;
+    }
     if (unconfirmed_report_)
       return;
     const auto load = ParseServerLoad(
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -137,6 +137,8 @@
     return leave_wait_expired_ ||
            (leaves_read_from_store_ && leave_received_from_peer_);
   }
+  // The current backend server states in its answers that it leaves.
+  void OnStatedLeave();
   // Applies unconfirmed_report_ once the leave state is known.
   void ApplyUnconfirmedReport();
 
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -399,6 +399,22 @@
                         [this, instance] { AnswerLeave(instance); });
 }
 
+void RouteNode::Impl::OnStatedLeave() {
+  if (!registry_.accepts_work())
+    return;
+  const state::BackendInstance identity = registry_.current()->identity;
+  Log(LogLevel::kInfo, "leave_stated",
+      {{"instance", identity.instance},
+       {"started_ms", std::to_string(identity.started_ms)},
+       {"server_calls", std::to_string(backend_executor_.in_flight())}});
+  registry_.ApplyLeave(identity, state::WallMilliseconds(WallNow()), Now());
+  ApplyBackendChange();
+  // The record reaches the other nodes before the answer does, on the same
+  // links, so that a node that passes the answer on can tell this one of the
+  // leave after a restart.
+  RecordLeave(identity.instance);
+}
+
 void RouteNode::Impl::ConfirmLeave(const std::string& instance,
                                    std::shared_ptr<HttpExchange> exchange) {
   const auto found = leaves_.find(instance);
