Send a request again only on another connection than the one that refused it

Cause: a request that a server refused may be sent to it again, with the same id and on the same kept connection. If the server writes the earlier refusal once more, its id matches, and the copy was taken for the answer to the second send, which the server was running.

Change: a connection remembers the requests that were answered on it with a failure, and is not chosen for them again; after 64 failures it is closed. Ids can't tell the two answers apart, a connection can: the copy arrives on the one that carried the original.

--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -39,6 +39,12 @@
 /// Number of interim (1xx) answers accepted before the final one.
 constexpr int kMaxInterimAnswers = 8;
 
+/// Number of failures answered on one connection after which it is closed,
+/// since it remembers the request of each.
+constexpr std::size_t kMaxFailuresPerConnection = 64;
+
+constexpr std::uint16_t kFirstFailureStatus = 400;
+
 /// Longest time that the deadline timer is set for. It is set again for later
 /// deadlines.
 constexpr std::chrono::hours kMaxTimerWait{24};
@@ -96,6 +102,13 @@
 
   std::size_t in_flight() const { return calls_.size(); }
 
+  /// The id that the server echoes; empty if it echoes none.
+  std::string_view IdOf(const HttpRequest& request) const {
+    return options_.request_id_field.empty()
+               ? std::string_view()
+               : FieldOf(request.headers, options_.request_id_field);
+  }
+
  private:
   class Connection;
   struct Call;
@@ -105,7 +118,7 @@
   Pool* GetOrCreatePool(const state::Endpoint& endpoint);
   void AssignConnection(Call* call);
   void OpenConnection(Call* call);
-  ConnectionPtr AcquireIdleConnection(Pool* pool, state::Duration max_idle);
+  ConnectionPtr AcquireIdleConnection(const Call& call);
   void DiscardConnection(const ConnectionPtr& connection);
   /// Closes the connections that have been idle since before \p time. Called
   /// when a request that was sent at \p time on a reused connection has timed
@@ -199,6 +212,14 @@
                           });
   }
 
+  /// True if a failure of the request \p id was answered on this connection. A
+  /// server may write that answer once more; it would be taken for the answer
+  /// to a repeated request.
+  bool HasFailureOf(std::string_view id) const {
+    return std::find(failed_ids_.begin(), failed_ids_.end(),
+                     state::HashOf(id)) != failed_ids_.end();
+  }
+
   /// True if the other end has neither closed the connection nor sent bytes
   /// while no request was outstanding.
   bool IsUsable() {
@@ -349,7 +370,7 @@
     const std::string& field = client_->options_.request_id_field;
     if (field.empty())
       return true;
-    const std::string_view expected = FieldOf(call_->request.headers, field);
+    const std::string_view expected = client_->IdOf(call_->request);
     const std::string_view id = FieldOf(parser_->message().headers, field);
     return expected.empty() || id.empty() || id == expected;
   }
@@ -360,7 +381,7 @@
   bool LacksId() {
     const std::string& field = client_->options_.request_id_field;
     return !field.empty() && call_->reused_connection &&
-           !FieldOf(call_->request.headers, field).empty() &&
+           !client_->IdOf(call_->request).empty() &&
            FieldOf(parser_->message().headers, field).empty();
   }
 
@@ -424,9 +445,12 @@
   }
 
   void Complete() {
+    if (parser_->message().status >= kFirstFailureStatus)
+      failed_ids_.push_back(state::HashOf(client_->IdOf(call_->request)));
     const bool reusable = parser_->keep_alive() && is_written() &&
                           !received_unmatched_answer_ && !LacksId() &&
-                          parsed_ == buffer_.size();
+                          parsed_ == buffer_.size() &&
+                          failed_ids_.size() < kMaxFailuresPerConnection;
     idle_limit_ = wire::KeepAliveIdleLimit(parser_->message().headers);
     HttpOutcome outcome;
     outcome.request_sent = true;
@@ -460,6 +484,8 @@
   /// Set once an answer to another request was received. The connection is not
   /// reused then.
   bool received_unmatched_answer_ = false;
+  /// Hashes of the ids of requests that were answered with a failure.
+  std::vector<std::uint64_t> failed_ids_;
   std::optional<wire::ResponseParser> parser_;
   int interim_answers_ = 0;
   /// Bytes that were read. The first `parsed_` bytes are removed before the
@@ -521,8 +547,7 @@
 
 void HttpClient::Impl::AssignConnection(Call* call) {
   Pool* const pool = call->pool;
-  while (const ConnectionPtr connection =
-             AcquireIdleConnection(pool, call->max_idle)) {
+  while (const ConnectionPtr connection = AcquireIdleConnection(*call)) {
     if (connection->SendRequest(call)) {
       call->reused_connection = true;
       call->connection = connection;
@@ -548,18 +573,24 @@
 }
 
 HttpClient::Impl::ConnectionPtr HttpClient::Impl::AcquireIdleConnection(
-    Pool* pool,
-    state::Duration max_idle) {
+    const Call& call) {
   const Instant now = Now();
+  std::deque<ConnectionPtr>& idle = call.pool->idle;
+  const std::string_view id = IdOf(call.request);
   // The connection at the back has been idle for the shortest time.
-  while (!pool->idle.empty() &&
-         now - pool->idle.back()->idle_since() <= max_idle) {
-    ConnectionPtr connection = std::move(pool->idle.back());
-    pool->idle.pop_back();
-    if (now - connection->idle_since() < connection->idle_limit() &&
-        connection->IsUsable())
-      return connection;
-    DiscardConnection(connection);
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    const ConnectionPtr connection = idle[i];
+    if (now - connection->idle_since() > call.max_idle)
+      return nullptr;
+    if (!id.empty() && connection->HasFailureOf(id))
+      continue;
+    if (now - connection->idle_since() >= connection->idle_limit() ||
+        !connection->IsUsable()) {
+      DiscardConnection(connection);
+      continue;
+    }
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    return connection;
   }
   return nullptr;
 }
--- a/test/route_node/server_fault_test.cc
+++ b/test/route_node/server_fault_test.cc
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -152,6 +153,66 @@
   }
 }
 
+// Guards against an order that is refused although it runs, or runs again,
+// because a copy of the refusal of its previous send carries the same id.
+TEST_F(ServerFaultTest, ACopyOfTheRefusalOfTheSameRequestIsNotBelieved) {
+  constexpr int kRounds = 12;
+  constexpr int kServedPerRound = 20;
+  struct Sends {
+    int arrivals = 0;
+    int runs = 0;
+    const RawConnection* refused_on = nullptr;
+  };
+  std::mutex mutex;
+  std::map<std::string, Sends> sends;
+  Start([&](const std::string& id, RawConnection& connection) {
+    const std::string refusal = fmt::format(
+        "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {}\r\n"
+        "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        id);
+    bool is_refused = false;
+    bool has_copy = false;
+    {
+      const std::lock_guard lock(mutex);
+      Sends& sent = sends[id];
+      is_refused = ++sent.arrivals == 1 && id[0] == 'r';
+      has_copy = sent.refused_on == &connection;
+      sent.runs += is_refused ? 0 : 1;
+      if (is_refused)
+        sent.refused_on = &connection;
+    }
+    if (is_refused || has_copy)
+      connection.Write(refusal);
+    if (is_refused)
+      return;
+    std::this_thread::sleep_for(milliseconds(5));
+    connection.Write(raw_->AnswerTo(id));
+  });
+  int sent_again = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    const bool is_order = round % 3 != 2;
+    const bool remote = round % 2 == 0;
+    // Requests that are served add to the retry budget.
+    for (int i = 0; i < kServedPerRound; ++i)
+      Send(fmt::format("s{}-{}", round, i), is_order, remote);
+    const std::string id = fmt::format("r{}", round);
+    const auto result = Send(id, is_order, remote);
+    const std::lock_guard lock(mutex);
+    const Sends& sent = sends[id];
+    sent_again += sent.arrivals > 1 ? 1 : 0;
+    if (is_order) {
+      EXPECT_LE(sent.runs, 1) << id;
+    }
+    if (result.status == kUnavailable) {
+      EXPECT_EQ(sent.runs, 0) << id;
+    }
+    if (result.status == kOk)
+      ExpectOwnAnswer(result, id);
+  }
+  // Otherwise the case has not been played.
+  EXPECT_GT(sent_again, kRounds / 2);
+}
+
 // --- Answers that break off
 
 struct Break {
