Test answers whose head breaks off at any byte

Other operators saw an answer that ended in its head delivered as a 200 with an empty body. No change of the product.

--- a/test/route_node/server_fault_test.cc
+++ b/test/route_node/server_fault_test.cc
@@ -282,6 +282,33 @@
   }
 }
 
+// Guards against a success made of an answer whose head the server did not end,
+// at any byte of it, with each way to tell the length of the body.
+TEST_F(ServerFaultTest, AHeadThatBreaksOffIsNoSuccess) {
+  constexpr const char* kFramings[] = {"Content-Length: 14\r\n",
+                                       "Transfer-Encoding: chunked\r\n", ""};
+  std::string bytes;
+  Start([&](const std::string&, RawConnection& connection) {
+    connection.Write(bytes);
+    connection.Close(false);
+  });
+  int number = 0;
+  for (const char* const framing : kFramings) {
+    const std::string id = fmt::format("h{}", number++);
+    const std::string head = fmt::format(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {0}\r\n{1}X-Response-Seal: i-1/{0}"
+        "\r\n\r\n",
+        id, framing);
+    for (std::size_t size = 0; size < head.size(); ++size) {
+      bytes = head.substr(0, size);
+      const bool is_order = size % 2 == 0;
+      const auto result = Send(id, is_order, size % 4 < 2);
+      EXPECT_GE(result.status, 500) << bytes;
+      EXPECT_NE(result.status, kUnavailable) << bytes;
+    }
+  }
+}
+
 // --- Bytes without end
 
 struct Endless {
