Refuse requests that a stopping node can't see answered

What callers saw, as other operators reported: a request that arrived in the last 100 ms of a stopping node was passed on to a server and cut off without an answer when the process ended, orders among them (LOST).

Cause: the ports closed once the node was idle, from 2.6 s after SIGTERM on, but requests whose first bytes had come before were read and passed on until the process ended 100 ms later. Calls of running requests were passed on until the ports closed, however long they might take.

Change: from the close of the ports on, every request is refused as not run. A request whose deadline lies after the end is refused if answers of its route usually take longer than what is left; the calls of a run without such a measurement are refused after 2.9 s. What is still in progress at the end gets an answer that says whether it can have run, in place of a closed connection.

--- a/include/sesamespread/transport/entry_request_handler.h
+++ b/include/sesamespread/transport/entry_request_handler.h
@@ -83,6 +83,14 @@
   /// Refuses new requests of callers from now on. Calls that a request running
   /// at the local backend server makes are still served.
   void RefuseCallers() { refuses_callers_ = true; }
+  /// The process ends at \p end. From now on requests that are not expected to
+  /// be answered before it are refused.
+  void SetEnd(state::Instant end) { end_ = end; }
+  /// Refuses all new requests from now on.
+  void RefuseRequests() { refuses_requests_ = true; }
+  /// Answers all requests in progress with a failure, which says that a request
+  /// has not run if no server can have run it.
+  void FailRequests();
   void SetRetryRatio(double ratio) { budget_.set_ratio(ratio); }
   void SetCaller(std::string caller) { options_.caller = std::move(caller); }
 
@@ -164,6 +172,8 @@
   // is none.
   std::optional<coordination::ReportedThreshold> FindOverload(
       const Request& request) const;
+  // Whether a stopping node refuses the new request.
+  bool IsRefusedByStop(const Request& request) const;
   // Servers already tried in this pass, and those with too long a queue.
   std::vector<state::NodeId> ExcludedServers(const Request& request,
                                              state::Instant now) const;
@@ -230,6 +240,9 @@
   // Average number of calls that a run of a request makes, by route.
   std::unordered_map<std::string, double> calls_per_run_;
   bool refuses_callers_ = false;
+  bool refuses_requests_ = false;
+  // When the process ends; set once it stops.
+  std::optional<state::Instant> end_;
   std::unordered_map<Key, Request> requests_;
   Key next_key_ = 1;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -206,7 +206,7 @@
     budget_.OnCallFromRetry(request.call.service, request.received);
   else
     budget_.OnRequest(request.call.service, request.received);
-  if (refuses_callers_ && !request.call.from_backend) {
+  if (IsRefusedByStop(request)) {
     Fail(key, {ResultCode::kLeaving, RunState::kNotRun, "this node stops"});
     return;
   }
@@ -238,6 +238,15 @@
   request.call.is_repeat = parent->is_repeat;
 }
 
+bool EntryRequestHandler::IsRefusedByStop(const Request& request) const {
+  if (refuses_requests_ || (refuses_callers_ && !request.call.from_backend))
+    return true;
+  if (!end_ || request.deadline <= *end_)
+    return false;
+  const auto usual_time = answer_times_.LossTimeout(request.route->name);
+  return usual_time ? Now() + *usual_time > *end_ : refuses_callers_;
+}
+
 std::optional<coordination::ReportedThreshold>
 EntryRequestHandler::FindOverload(const Request& request) const {
   if (request.call.from_backend)
@@ -574,6 +583,19 @@
          "the caller closed the connection");
 }
 
+void EntryRequestHandler::FailRequests() {
+  std::vector<Key> keys;
+  for (const auto& [key, request] : requests_)
+    keys.push_back(key);
+  for (const Key key : keys) {
+    const Request& request = requests_.at(key);
+    const RunState run_state =
+        request.outstanding.empty() ? RunStateOf(request) : RunState::kUnknown;
+    Fail(key, {ResultCode::kLeaving, run_state,
+               "this node stops before the request is answered"});
+  }
+}
+
 void EntryRequestHandler::Fail(Key key, const Failure& failure) {
   Request& request = requests_.at(key);
   const Instant now = Now();
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -130,6 +130,7 @@
       {{"entry_requests", std::to_string(entry_.in_flight())},
        {"server_calls", std::to_string(backend_executor_.in_flight())}});
   entry_server_.StartDraining();
+  entry_.SetEnd(*shutdown_at_ + settings_.shutdown_timeout - kShutdownMargin);
   backend_executor_.StopNewWork(QueueDrainTime());
   AnnounceBackendState();
 }
@@ -152,6 +153,9 @@
          {"elapsed_us", std::to_string(elapsed.count())},
          {"entry_requests", std::to_string(entry_.in_flight())},
          {"server_calls", std::to_string(backend_executor_.in_flight())}});
+    // A request that is read from now on could not be answered by a server.
+    entry_.RefuseRequests();
+    entry_.FailRequests();
     entry_server_.StopAccepting();
     report_server_.StopAccepting();
     ready_server_.StopAccepting();
--- a/test/route_node/planned_stop_test.cc
+++ b/test/route_node/planned_stop_test.cc
@@ -6,10 +6,12 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <future>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -169,5 +171,121 @@
   }
 }
 
+// A request whose last bytes arrive some time after the stop began.
+struct LateCaller {
+  milliseconds delay;
+  std::unique_ptr<StopCaller> caller;
+  std::string received;
+};
+
+// Guards against requests that arrive late in the grace time, are passed on to
+// a server and then cut off by the end of the process.
+TEST(PlannedStopTest, RequestsLateInTheGraceAreNotCutOff) {
+  constexpr Stage kLate = {"the last part sent late", 0.9, 1};
+  constexpr milliseconds kStep{25};
+  constexpr milliseconds kServiceTime{250};
+  struct Load {
+    milliseconds first_delay;
+    milliseconds last_delay;
+    // Whether a long request keeps the node from ending early.
+    bool is_busy;
+  };
+  // An idle node closes its ports 2.6 to 2.7 s after the stop began.
+  for (const auto& [first_delay, last_delay, is_busy] :
+       {Load{milliseconds(2200), milliseconds(6000), false},
+        Load{milliseconds(2200), milliseconds(6000), true},
+        Load{milliseconds(2630), milliseconds(2800), false},
+        Load{milliseconds(2660), milliseconds(2800), false},
+        Load{milliseconds(2690), milliseconds(2800), false},
+        Load{milliseconds(2720), milliseconds(2800), false}}) {
+    RouteDeployment deployment({{"shop", "stock", "stock"}});
+    ASSERT_TRUE(deployment.WaitUntilServing());
+    RouteHost& stopped = deployment.stock(0);
+    const auto set_service_time = [&](milliseconds time) {
+      for (std::size_t i : {0, 1})
+        deployment.stock(i).backend->SetServiceTime(time);
+    };
+    set_service_time(milliseconds(4400));
+    std::thread holder([&] {
+      if (is_busy)
+        deployment.Send(stopped, "orders.example", "holder");
+    });
+    if (is_busy) {
+      ASSERT_NE(deployment.WaitForStockExecution("holder"), nullptr);
+    }
+    set_service_time(kServiceTime);
+    std::vector<LateCaller> late;
+    for (milliseconds delay = first_delay; delay < last_delay; delay += kStep) {
+      late.push_back(
+          {delay,
+           std::make_unique<StopCaller>(stopped.entry,
+                                        fmt::format("l{}", late.size()), kLate),
+           ""});
+    }
+    stopped.node->Signal(SIGTERM);
+    std::vector<std::thread> threads;
+    for (LateCaller& entry : late) {
+      threads.emplace_back([&entry] {
+        std::this_thread::sleep_for(entry.delay);
+        entry.received = entry.caller->Finish();
+      });
+    }
+    for (std::thread& thread : threads)
+      thread.join();
+    holder.join();
+    EXPECT_EQ(stopped.node->Wait(kGrace), 0);
+    for (const LateCaller& entry : late) {
+      SCOPED_TRACE(fmt::format("busy {}, {} ms after the stop, received: {}",
+                               is_busy, entry.delay.count(), entry.received));
+      const std::size_t runs =
+          deployment.CountStockExecutions(entry.caller->IdOf(0));
+      if (StopCaller::CountAnswers(entry.received) == 0) {
+        EXPECT_EQ(runs, 0U) << "a request that has run is cut off";
+      } else if (entry.received.rfind("HTTP/1.1 503", 0) == 0) {
+        EXPECT_EQ(runs, 0U);
+      } else {
+        EXPECT_EQ(entry.received.rfind("HTTP/1.1 200", 0), 0U);
+      }
+    }
+    if (::testing::Test::HasFailure())
+      std::cerr << deployment.CollectDiagnostics();
+  }
+}
+
+// Guards against calls of a running request that the stopping node passes on
+// late in the grace time and then cuts off.
+TEST(PlannedStopTest, CallsLateInTheGraceAreAnswered) {
+  RouteDeployment deployment({{"shop", "stock", "stock"}});
+  ASSERT_TRUE(deployment.WaitUntilServing());
+  RouteHost& stopped = deployment.shop();
+  // The call begins 5.4 s after the stop and would last longer than the grace.
+  stopped.backend->SetServiceTime(milliseconds(4700));
+  for (std::size_t i : {0, 1})
+    deployment.stock(i).backend->SetServiceTime(milliseconds(900));
+  std::atomic<bool> stopped_reports = false;
+  std::thread reports([&] {
+    while (!stopped_reports) {
+      for (std::size_t i : {0, 1})
+        deployment.stock(i).backend->Report(false);
+      std::this_thread::sleep_for(milliseconds(500));
+    }
+  });
+  auto result = std::async(std::launch::async, [&] {
+    return deployment.Send(deployment.stock(0), "shop.example", "r1");
+  });
+  ASSERT_TRUE(
+      bench::WaitFor([&] { return stopped.backend->CountExecutions("r1") > 0; },
+                     kTestTimeout));
+  stopped.node->Signal(SIGTERM);
+  EXPECT_EQ(stopped.node->Wait(kGrace + milliseconds(500)), 0);
+  EXPECT_EQ(result.get().status / 100, 5);
+  stopped_reports = true;
+  reports.join();
+  EXPECT_EQ(deployment.CountStockExecutions("r1.1"), 0U)
+      << "a call was passed on that could not end within the grace";
+  if (::testing::Test::HasFailure())
+    std::cerr << deployment.CollectDiagnostics();
+}
+
 }  // namespace
 }  // namespace sesamespread::test
