Report no overload while another server takes what a rate limit refuses

Cause: a server that states a rate limit and gets more than it allows always has a call or two that wait for the next one, some 40 ms at 45 requests a second. That is above the target of the overload threshold, so that entry nodes refused browse requests although other servers of the service had room.

Change: waits for the rate limit count towards the overload only behind calls that no other server may take.

--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -92,7 +92,9 @@
   std::uint32_t in_progress = 0;
   std::uint32_t queued = 0;
   std::uint32_t limit = 0;
-  /// Expected wait of a call at the end of the queue.
+  /// Expected wait of a call at the end of the queue. Waits for the rate limit
+  /// count only behind calls that no other server may take: while there are
+  /// none, the other servers of the service have room.
   state::Duration expected_wait{0};
   /// Share of the slots, or of the rate limit's burst if less of it is left,
   /// that is unused; 0 to 1.
@@ -171,6 +173,7 @@
   std::uint32_t limit() const;
   // Position in the queue: calls with an earlier value start first.
   state::Instant OrderOf(const QueuedCall& call, state::Instant now) const;
+  state::Duration SlotWaitBehind(std::size_t ahead) const;
   state::Duration ExpectedWaitBehind(std::size_t ahead,
                                      state::Instant now) const;
   // Wait that the sender of \p call accepts behind \p ahead others.
@@ -189,6 +192,8 @@
   std::uint32_t external_requests_ = 0;
   RequestRateLimit rate_limit_;
   std::unordered_map<Ticket, Waiting> waiting_;
+  // Number of calls in waiting_ that no other server may take.
+  std::size_t bound_calls_ = 0;
   // The tickets of waiting_ in the order in which they start.
   std::set<Order> order_;
   // Average over the calls of all routes.
--- a/lib/coordination/server_queue.cc
+++ b/lib/coordination/server_queue.cc
@@ -56,13 +56,15 @@
   return now + FromMicros(to_goal * options_.goal_factors.at(rank));
 }
 
-Duration ServerQueue::ExpectedWaitBehind(std::size_t ahead, Instant now) const {
-  const Duration rate_wait = rate_limit_.WaitBehind(ahead, now);
+Duration ServerQueue::SlotWaitBehind(std::size_t ahead) const {
   if (in_progress_ < limit())
-    return rate_wait;
-  return std::max(
-      rate_wait,
-      FromMicros(service_time_us_ * static_cast<double>(ahead + 1) / limit()));
+    return Duration(0);
+  return FromMicros(service_time_us_ * static_cast<double>(ahead + 1) /
+                    limit());
+}
+
+Duration ServerQueue::ExpectedWaitBehind(std::size_t ahead, Instant now) const {
+  return std::max(SlotWaitBehind(ahead), rate_limit_.WaitBehind(ahead, now));
 }
 
 Duration ServerQueue::AcceptedWait(const QueuedCall& call,
@@ -114,6 +116,7 @@
     return decision;
   }
   decision.outcome = QueueOutcome::kQueued;
+  bound_calls_ += call.has_alternatives ? 0 : 1;
   waiting_.emplace(call.ticket, Waiting{call, now, order});
   order_.insert({order, call.ticket});
   return decision;
@@ -121,6 +124,7 @@
 
 void ServerQueue::Remove(Ticket ticket) {
   const auto found = waiting_.find(ticket);
+  bound_calls_ -= found->second.call.has_alternatives ? 0 : 1;
   order_.erase({found->second.order, ticket});
   waiting_.erase(found);
 }
@@ -196,6 +200,7 @@
   refused.reserve(order_.size());
   for (const auto& [order, ticket] : order_)
     refused.push_back({ticket, code});
+  bound_calls_ = 0;
   waiting_.clear();
   order_.clear();
   return refused;
@@ -209,8 +214,11 @@
 QueueLoad ServerQueue::load(Instant now) const {
   const double unused_slots =
       1 - static_cast<double>(std::min(in_progress_, limit())) / limit();
+  const Duration rate_wait = bound_calls_ > 0
+                                 ? rate_limit_.WaitBehind(bound_calls_, now)
+                                 : Duration(0);
   return {in_progress_, static_cast<std::uint32_t>(waiting_.size()), limit(),
-          ExpectedWaitBehind(waiting_.size(), now),
+          std::max(SlotWaitBehind(waiting_.size()), rate_wait),
           std::min(unused_slots, rate_limit_.UnusedShare(now))};
 }
 
