Bind the statements of a server to its instance and to bound calls

Found on reading the change, each without a play that showed it: - a 421 comes from another server at the address, and a late answer may come from an earlier instance; their statements are ignored now; - the first report after a health check counted as another instance, which forgot the stated limit and refused the queued calls; an unknown start time now matches any.

Measured: EntryRequestHandlerTest (four new tests), coordination tests, and ServerStatementTest and PlannedStopTest with real nodes pass.

--- a/include/sesamespread/coordination/backend_registry.h
+++ b/include/sesamespread/coordination/backend_registry.h
@@ -93,7 +93,6 @@
   // Instance names whose leave times are stored.
   static constexpr std::size_t kMaxLeftInstances = 64;
 
-  bool IsSameRun(const state::BackendInstance& identity) const;
   bool HasLeft(const state::BackendInstance& identity) const;
   ReportOutcome MarkLeaving(state::Instant now);
 
--- a/include/sesamespread/state/backend_report.h
+++ b/include/sesamespread/state/backend_report.h
@@ -22,6 +22,14 @@
   /// server's host; 0 if unknown.
   std::uint64_t started_ms = 0;
 
+  /// Whether \p other may be the same instance: start times are compared only
+  /// if both are known.
+  bool IsSameRun(const BackendInstance& other) const {
+    return instance == other.instance &&
+           (started_ms == 0 || other.started_ms == 0 ||
+            started_ms == other.started_ms);
+  }
+
   auto operator<=>(const BackendInstance&) const = default;
 };
 
--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -131,7 +131,7 @@
     state::Instant started;
     std::string id;
     // Instance of the backend server at the start.
-    std::string instance;
+    state::BackendInstance instance;
     std::uint32_t calls_made = 0;
   };
 
--- a/include/sesamespread/transport/entry_request_handler.h
+++ b/include/sesamespread/transport/entry_request_handler.h
@@ -80,12 +80,10 @@
       std::function<void(state::NodeId, std::uint64_t version)> observer) {
     version_observer_ = std::move(observer);
   }
-  /// Refuses new requests of callers from now on. Calls that a request running
-  /// at the local backend server makes are still served.
-  void RefuseCallers() { refuses_callers_ = true; }
-  /// The process ends at \p end. From now on requests that are not expected to
-  /// be answered before it are refused.
-  void SetEnd(state::Instant end) { end_ = end; }
+  /// Refuses new requests of callers from now on, since the process ends at
+  /// \p end. Calls that a request running at the local backend server makes are
+  /// still served if they are expected to be answered before.
+  void RefuseCallers(state::Instant end) { callers_refused_until_ = end; }
   /// Refuses all new requests from now on.
   void RefuseRequests() { refuses_requests_ = true; }
   /// Answers all requests in progress with a failure, which says that a request
@@ -239,10 +237,10 @@
   coordination::RetryAfterEstimator retry_after_;
   // Average number of calls that a run of a request makes, by route.
   std::unordered_map<std::string, double> calls_per_run_;
-  bool refuses_callers_ = false;
+  // The end of the process, from which on callers are refused; see
+  // RefuseCallers.
+  std::optional<state::Instant> callers_refused_until_;
   bool refuses_requests_ = false;
-  // When the process ends; set once it stops.
-  std::optional<state::Instant> end_;
   std::unordered_map<Key, Request> requests_;
   Key next_key_ = 1;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/lib/coordination/backend_registry.cc
+++ b/lib/coordination/backend_registry.cc
@@ -6,13 +6,6 @@
 
 namespace sesamespread::coordination {
 
-bool BackendRegistry::IsSameRun(const state::BackendInstance& identity) const {
-  const state::BackendInstance& current = current_->identity;
-  const bool same_start = identity.started_ms == 0 || current.started_ms == 0 ||
-                          identity.started_ms == current.started_ms;
-  return identity.instance == current.instance && same_start;
-}
-
 bool BackendRegistry::IsEarlierRun(
     const state::BackendInstance& identity) const {
   return current_ && identity.started_ms != 0 &&
@@ -32,7 +25,7 @@
   state::BackendReport report = received;
   report.leaving = received.leaving || HasLeft(received.identity);
   if (current_ && !provisional_) {
-    const bool same = IsSameRun(report.identity);
+    const bool same = current_->identity.IsSameRun(report.identity);
     if (!same && report.identity.started_ms < current_->identity.started_ms)
       return ReportOutcome::kStale;
     if (same && report.sequence <= current_->sequence)
@@ -75,7 +68,7 @@
     state::Instant now) {
   if (identity.started_ms == 0)
     return ApplyInstanceLeave(identity.instance, wall_ms, now);
-  if (current_ && IsSameRun(identity))
+  if (current_ && current_->identity.IsSameRun(identity))
     return MarkLeaving(now);
   return ReportOutcome::kStale;
 }
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -100,7 +100,7 @@
 
 void BackendExecutor::SetBackend(std::optional<state::BackendReport> backend) {
   const bool same_instance = backend && backend_ &&
-                             backend->identity == backend_->identity &&
+                             backend->identity.IsSameRun(backend_->identity) &&
                              backend->service == backend_->service;
   const bool is_first = !backend_;
   backend_ = std::move(backend);
@@ -246,7 +246,7 @@
   call.is_running = true;
   call.started = Now();
   running_[call.id] = handle;
-  call.instance = backend_->identity.instance;
+  call.instance = backend_->identity;
   ++sent_requests_;
   HttpRequest http = MakeHttpRequest(call);
   http.body = std::move(call.request.body);
@@ -333,10 +333,10 @@
   }
   if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load)))
     queue_.OnReportedLoad(load->running + load->waiting);
-  // The answer of an earlier instance says nothing about the current one.
-  if (backend_ && call.instance == backend_->identity.instance)
-    OnServerHeaders(headers, call.started);
   const bool misdirected = response.status == kMisdirectedStatus;
+  // Another backend server and an earlier instance say nothing about this one.
+  if (!misdirected && backend_ && backend_->identity.IsSameRun(call.instance))
+    OnServerHeaders(headers, call.started);
   if (misdirected || !FieldOf(headers, fields_.not_executed).empty()) {
     return FailedAnswer(
         call.request, ResultCode::kBackendRefused, RunState::kNotRun,
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -239,12 +239,17 @@
 }
 
 bool EntryRequestHandler::IsRefusedByStop(const Request& request) const {
-  if (refuses_requests_ || (refuses_callers_ && !request.call.from_backend))
+  if (refuses_requests_)
     return true;
-  if (!end_ || request.deadline <= *end_)
+  if (!callers_refused_until_)
+    return false;
+  if (!request.call.from_backend)
+    return true;
+  const Instant end = *callers_refused_until_;
+  if (request.deadline <= end)
     return false;
   const auto usual_time = answer_times_.LossTimeout(request.route->name);
-  return usual_time ? Now() + *usual_time > *end_ : refuses_callers_;
+  return !usual_time || Now() + *usual_time > end;
 }
 
 std::optional<coordination::ReportedThreshold>
@@ -349,7 +354,9 @@
   call.remaining = request.deadline - now;
   call.goal_remaining = std::max(request.goal - now, Duration(0));
   call.max_wait = max_wait;
-  call.has_alternatives = !request.is_last_pass;
+  call.has_alternatives =
+      !request.is_last_pass &&
+      MayTryAnotherServer(request, request.outstanding.size());
   const auto done = [this, key, number,
                      alive = alive_](const protocol::CallAnswer& answer) {
     if (*alive)
--- a/lib/transport/route_node_backend.cc
+++ b/lib/transport/route_node_backend.cc
@@ -38,13 +38,15 @@
 void RouteNode::Impl::ApplyBackendChange() {
   const auto& backend = registry_.current();
   backend_executor_.SetBackend(backend);
-  is_backend_down_ = false;
+  const bool was_down = std::exchange(is_backend_down_, false);
   if (!backend->service.empty())
     entry_.SetCaller(backend->service);
   if (backend->leaving) {
     backend_executor_.StopNewWork(QueueDrainTime());
   } else if (shutdown_at_) {
     backend_executor_.StopNewWork(Duration(0));
+  } else if (was_down) {
+    backend_executor_.ResumeNewWork();
   }
   AnnounceBackendState();
 }
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -130,7 +130,6 @@
       {{"entry_requests", std::to_string(entry_.in_flight())},
        {"server_calls", std::to_string(backend_executor_.in_flight())}});
   entry_server_.StartDraining();
-  entry_.SetEnd(*shutdown_at_ + settings_.shutdown_timeout - kShutdownMargin);
   backend_executor_.StopNewWork(QueueDrainTime());
   AnnounceBackendState();
 }
@@ -142,9 +141,10 @@
   const bool is_idle = entry_.in_flight() == 0 &&
                        backend_executor_.in_flight() == 0 &&
                        inbound_.in_flight() == 0;
-  const bool must_end = elapsed >= settings_.shutdown_timeout - kShutdownMargin;
+  const Duration last_close = settings_.shutdown_timeout - kShutdownMargin;
+  const bool must_end = elapsed >= last_close;
   if (elapsed >= kRefuseCallersDelay)
-    entry_.RefuseCallers();
+    entry_.RefuseCallers(*shutdown_at_ + last_close);
   if (!ports_closed_at_ &&
       ((is_idle && elapsed >= kMinShutdownTime) || must_end)) {
     ports_closed_at_ = now;
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -368,13 +368,97 @@
   };
   Send("/order/1", "r1");
   ASSERT_TRUE(RunUntil(context_, [&] { return pending.size() == 1; }));
-  entry_->RefuseCallers();
+  entry_->RefuseCallers(Now() + seconds(5));
   backend_ = [](const auto& exchange) { Answer(*exchange, "called"); };
   EXPECT_EQ(Await(Send("/read/1", "r1.c1")).status, 200);
   EXPECT_EQ(Await(Send("/read/1", "r9.c1")).status, 503);
   EXPECT_EQ(Await(Send("/read/1", "r2")).status, 503);
 }
 
+// Guards against calls that a stopping node passes on although it ends before
+// they do.
+TEST_F(EntryRequestHandlerTest, AStoppingNodeRefusesCallsThatItCannotAnswer) {
+  std::vector<std::shared_ptr<HttpExchange>> pending;
+  backend_ = [&pending](auto exchange) {
+    pending.push_back(std::move(exchange));
+  };
+  Send("/order/1", "r1");
+  ASSERT_TRUE(RunUntil(context_, [&] { return pending.size() == 1; }));
+  // Shorter than the calls' time budget, and the route has no measurements.
+  entry_->RefuseCallers(Now() + seconds(1));
+  EXPECT_EQ(Await(Send("/read/1", "r1.c1")).status, 503);
+  entry_->FailRequests();
+  EXPECT_EQ(requests_.size(), 1U);
+}
+
+// Guards against a request without answer at the end of a stop, and against the
+// promise that a request at a server has not run.
+TEST_F(EntryRequestHandlerTest, TheEndOfAStopAnswersRequestsInProgress) {
+  std::vector<std::shared_ptr<HttpExchange>> pending;
+  backend_ = [&pending](auto exchange) {
+    pending.push_back(std::move(exchange));
+  };
+  const Sent sent = Send("/order/1", "r1");
+  ASSERT_TRUE(RunUntil(context_, [&] { return pending.size() == 1; }));
+  entry_->RefuseRequests();
+  entry_->FailRequests();
+  EXPECT_EQ(Await(sent).status, 502);
+  EXPECT_EQ(Await(Send("/order/1", "r2")).status, 503);
+}
+
+// Guards against a limit that stays after the server has lifted it, and against
+// one that is taken from an answer of another server or instance.
+TEST_F(EntryRequestHandlerTest, ARateLimitIsThatOfTheCurrentServer) {
+  std::optional<std::string> limit = "40";
+  std::uint16_t status = 200;
+  backend_ = [&](const auto& exchange) {
+    HttpResponse response;
+    response.status = status;
+    response.headers = {IdOf(*exchange), {"X-Seal", "seal"}};
+    if (limit)
+      response.headers.push_back({"X-Limit", *limit});
+    exchange->Respond(std::move(response));
+  };
+  Await(Send("/read/1", "r1"));
+  EXPECT_EQ(backend_executor_.rate_limit(), 40);
+  // A report of the same instance keeps it.
+  SetBackend("i-1", 8);
+  EXPECT_EQ(backend_executor_.rate_limit(), 40);
+  limit.reset();
+  Await(Send("/read/1", "r2"));
+  EXPECT_EQ(backend_executor_.rate_limit(), std::nullopt);
+  limit = "1";
+  status = 421;
+  Await(Send("/order/1", "r3"));
+  EXPECT_EQ(backend_executor_.rate_limit(), std::nullopt);
+  std::shared_ptr<HttpExchange> pending;
+  backend_ = [&pending](auto exchange) { pending = std::move(exchange); };
+  const Sent old = Send("/read/1", "r4");
+  ASSERT_TRUE(RunUntil(context_, [&] { return pending != nullptr; }));
+  SetBackend("i-2", 4);
+  HttpResponse late;
+  late.headers = {IdOf(*pending), {"X-Seal", "seal"}, {"X-Limit", "1"}};
+  pending->Respond(std::move(late));
+  Await(old);
+  EXPECT_EQ(backend_executor_.rate_limit(), std::nullopt);
+}
+
+// Guards against a leave that only the caller learns of.
+TEST_F(EntryRequestHandlerTest, AStatedLeaveIsReported) {
+  int leaves = 0;
+  backend_executor_.SetLeaveObserver([&leaves] { ++leaves; });
+  Await(Send("/read/1", "r1"));
+  EXPECT_EQ(leaves, 0);
+  backend_ = [](const auto& exchange) {
+    HttpResponse response;
+    response.headers = {
+        IdOf(*exchange), {"X-Seal", "seal"}, {"X-Leaving", "1"}};
+    exchange->Respond(std::move(response));
+  };
+  Await(Send("/read/1", "r2"));
+  EXPECT_EQ(leaves, 1);
+}
+
 // Guards against filling all four slots of a server: one that is full may never
 // answer again.
 TEST_F(EntryRequestHandlerTest, CallsInProgressStayBelowTheServersSlots) {
