Play the hung server and the full queue in each run of their tests

They are traced; neither showed a fault of the product.

RequestsAtAHungServerAreAnsweredByAnother took the server that got most of 40 requests for the one that the node prefers.

The test now waits until every usable slot of both servers has been used, which is what it needs.

--- a/test/route_node/route_node_test.cc
+++ b/test/route_node/route_node_test.cc
@@ -398,13 +398,16 @@
 TEST_F(RouteNodeTest, RequestsAtAHungServerAreAnsweredByAnother) {
   constexpr milliseconds kBudget{1500};
   // The node needs this many answers to estimate their latency.
-  for (int i = 0; i < 40; ++i)
-    deployment_.Send(deployment_.shop(), "stock.example",
-                     "w" + std::to_string(i));
-  // The server that the node prefers if there is one request at a time.
+  std::string last_id;
+  for (int i = 0; i < 40; ++i) {
+    last_id = "w" + std::to_string(i);
+    deployment_.Send(deployment_.shop(), "stock.example", last_id);
+  }
+  // The server that the node prefers if there is one request at a time. One
+  // slow answer changes it, so that earlier requests may have gone to the other
+  // one.
   const bool prefers_first =
-      deployment_.stock(0).backend->executed_ids().size() >
-      deployment_.stock(1).backend->executed_ids().size();
+      deployment_.stock(0).backend->CountExecutions(last_id) > 0;
   Backend& hung = *deployment_.stock(prefers_first ? 0 : 1).backend;
   const std::string healthy_prefix = prefers_first ? "i-2/" : "i-1/";
   hung.SetFault(Backend::Fault::kHangs);
--- a/test/route_node/trace_test.cc
+++ b/test/route_node/trace_test.cc
@@ -55,6 +55,8 @@
   constexpr milliseconds kServiceTime{800};
   constexpr milliseconds kBudget{1000};
   constexpr int kLoad = 60;
+  // A node leaves one of the eight slots of a server free.
+  constexpr std::size_t kUsableSlots = 7;
   for (std::size_t i : {0, 1})
     deployment_.stock(i).backend->SetServiceTime(kServiceTime);
   std::vector<std::future<bench::HttpResult>> load;
@@ -64,9 +66,12 @@
                               "load" + std::to_string(i), kBudget);
     }));
   }
-  ASSERT_TRUE(bench::WaitFor(
-      [&] { return deployment_.CountStockExecutions("load0") > 0; },
-      kTestTimeout));
+  for (std::size_t i : {0, 1}) {
+    const auto& backend = *deployment_.stock(i).backend;
+    ASSERT_TRUE(bench::WaitFor(
+        [&] { return backend.executed_ids().size() >= kUsableSlots; },
+        kTestTimeout));
+  }
   const auto result =
       deployment_.Send(deployment_.shop(), "shop.example", "w1", kBudget);
   EXPECT_NE(result.status, kOk);
