Log the rate limit and the expected wait with each call

A call that is refused because its server limits its rate was logged with few calls in progress, a small queue and result 202, which did not show why. The line call_executed has the two inputs now. No decision changes.

--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -80,6 +80,10 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+std::string DescribeRateLimit(std::optional<double> per_second) {
+  return per_second ? fmt::format("{:.3f}", *per_second) : "none";
+}
+
 }  // namespace
 
 BackendExecutor::BackendExecutor(boost::asio::io_context& context,
@@ -401,16 +405,13 @@
   const auto previous = rate_limit();
   if (!queue_.rate_limit().OnAnswer(stated, sent, now))
     return;
-  const auto describe = [](std::optional<double> per_second) {
-    return per_second ? fmt::format("{:.3f}", *per_second) : "none";
-  };
   const coordination::QueueLoad load = queue_.load(now);
   if (log_.ShouldLog(ThreadRole::kData, LogLevel::kInfo,
                      "server_rate_limit_changed"))
     log_.Write(ThreadRole::kData, LogLevel::kInfo, "server_rate_limit_changed",
                {{"instance", backend_ ? backend_->identity.instance : ""},
-                {"previous_per_second", describe(previous)},
-                {"per_second", describe(stated)},
+                {"previous_per_second", DescribeRateLimit(previous)},
+                {"per_second", DescribeRateLimit(stated)},
                 {"sent_requests", std::to_string(sent_requests_)},
                 {"in_progress", std::to_string(load.in_progress)},
                 {"queued", std::to_string(load.queued)}});
@@ -538,6 +539,8 @@
        {"in_progress", std::to_string(answer.in_progress)},
        {"queued", std::to_string(answer.queued)},
        {"limit", std::to_string(answer.limit)},
+       {"rate_limit", DescribeRateLimit(rate_limit())},
+       {"expected_wait_us", std::to_string(answer.expected_wait.count())},
        {"instance", backend_ ? backend_->identity.instance : std::string()},
        {"detail", answer.detail}});
 }
