--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -579,7 +579,7 @@
   const std::string_view id = IdOf(call.request);
   // The connection at the back has been idle for the shortest time.
   for (std::size_t i = idle.size(); i-- > 0;) {
-    const ConnectionPtr connection = idle[i];
+    ConnectionPtr connection = idle[i];
     if (now - connection->idle_since() > call.max_idle)
       return nullptr;
     if (!id.empty() && connection->HasFailureOf(id))
