--- a/test/route_node/deployment.h
+++ b/test/route_node/deployment.h
@@ -45,12 +45,12 @@
 struct RouteDeploymentOptions {
   /// Service of each host: `shop` or `stock`.
   std::vector<std::string> services = {"shop", "stock", "stock"};
-  /// Rank of the routes to safe requests; orders have rank 0.
-  unsigned read_priority = 0;
   /// Puts proxies between the processes.
   bool has_proxies = false;
   /// Writes the standard output of the nodes to files, which Trace reads.
   bool keeps_logs = false;
+  /// Rank of the routes to safe requests; orders have rank 0.
+  unsigned read_priority = 0;
 };
 
 /// Backend servers of `shop` and `stock` in one zone; each request to `shop`
