Start few requests until a server has told its rate limit

Cause: a node that restarts beside a limited server knows the limit only from the health check of its start or the first answer. If the server's report arrives before the health check is answered, or the check fails, the node sends what the slots allow, up to 180 requests at once, while the nodes of the callers were not restarted and count.

Change: until the first answer at most 8 requests are in progress. A malformed statement no longer leaves the limit unknown; it repeats the previous one.

--- a/include/sesamespread/coordination/request_rate_limit.h
+++ b/include/sesamespread/coordination/request_rate_limit.h
@@ -41,6 +41,9 @@
                 state::Instant sent,
                 state::Instant now);
 
+  /// False until the first answer: whether there is a limit is unknown.
+  bool is_known() const { return is_known_; }
+
   /// Forgets the limit, for another instance of the backend server.
   void Reset() { per_second_.reset(); }
 
@@ -65,6 +68,7 @@
   double TokensAt(state::Instant now) const;
 
   const RequestRateLimitOptions options_;
+  bool is_known_ = false;
   std::optional<double> per_second_;
   // When the last answer that states a limit arrived.
   state::Instant stated_at_{};
--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -42,6 +42,9 @@
   /// queue of such calls would report an overload of the service, although only
   /// this server is limited.
   state::Duration max_rate_wait = std::chrono::milliseconds(20);
+  /// Number of calls in progress until the first answer. Callers may know of a
+  /// low rate limit that a restarted node has yet to learn.
+  std::uint32_t max_before_answer = 8;
   /// Weight of one answer in the exponential moving averages of service times.
   double gain = 0.1;
   /// Service time assumed before the first answer.
--- a/lib/coordination/request_rate_limit.cc
+++ b/lib/coordination/request_rate_limit.cc
@@ -29,6 +29,7 @@
 bool RequestRateLimit::OnAnswer(std::optional<double> per_second,
                                 Instant sent,
                                 Instant now) {
+  is_known_ = true;
   if (per_second)
     stated_at_ = now;
   else if (sent <= stated_at_)
--- a/lib/coordination/server_queue.cc
+++ b/lib/coordination/server_queue.cc
@@ -32,8 +32,10 @@
   const std::uint32_t slots = slots_ > 0 ? slots_ : options_.default_slots;
   const auto usable = static_cast<std::uint32_t>(
       std::floor(options_.usable_slot_share * slots));
-  return std::max<std::uint32_t>(
+  const std::uint32_t limit = std::max<std::uint32_t>(
       1, usable > external_requests_ ? usable - external_requests_ : 1);
+  return rate_limit_.is_known() ? limit
+                                : std::min(limit, options_.max_before_answer);
 }
 
 void ServerQueue::SetSlots(std::uint32_t slots) {
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -393,16 +393,16 @@
 }
 
 void BackendExecutor::ApplyRateLimit(std::string_view text, Instant sent) {
-  const auto stated = ParseRateLimit(text);
+  const Instant now = Now();
+  const auto previous = rate_limit();
+  auto stated = ParseRateLimit(text);
   if (!stated && !text.empty()) {
+    stated = previous;
     if (log_.ShouldLog(ThreadRole::kData, LogLevel::kWarning,
                        "server_rate_limit_malformed"))
       log_.Write(ThreadRole::kData, LogLevel::kWarning,
                  "server_rate_limit_malformed", {{"value", std::string(text)}});
-    return;
   }
-  const Instant now = Now();
-  const auto previous = rate_limit();
   if (!queue_.rate_limit().OnAnswer(stated, sent, now))
     return;
   const coordination::QueueLoad load = queue_.load(now);
--- a/unittests/coordination/rate_limit_load_test.cc
+++ b/unittests/coordination/rate_limit_load_test.cc
@@ -7,8 +7,10 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <map>
 #include <numeric>
+#include <optional>
 #include <queue>
 #include <random>
 #include <vector>
@@ -34,6 +36,11 @@
 constexpr std::uint32_t kBrowseRank = 2;
 constexpr char kRoute[] = "stock";
 
+Instant At(double ms) {
+  return Instant(std::chrono::hours(1)) +
+         Duration(static_cast<std::int64_t>(ms * 1000));
+}
+
 struct LoadOptions {
   std::size_t limited_servers = 0;
   /// Whether calls tell that the sender has other servers to try.
@@ -53,8 +60,10 @@
   explicit RateLimitLoad(const LoadOptions& options) : options_(options) {
     for (std::size_t i = 0; i < kServers; ++i) {
       queues_[i].SetSlots(kSlots);
-      if (i < options.limited_servers)
-        queues_[i].rate_limit().OnAnswer(kLimitPerSecond, At(0), At(0));
+      const bool is_limited = i < options.limited_servers;
+      queues_[i].rate_limit().OnAnswer(
+          is_limited ? std::optional(kLimitPerSecond) : std::nullopt, At(0),
+          At(0));
     }
   }
 
@@ -91,11 +100,6 @@
     double goal;
   };
 
-  static Instant At(double ms) {
-    return Instant(std::chrono::hours(1)) +
-           Duration(static_cast<std::int64_t>(ms * 1000));
-  }
-
   void Admit(std::uint32_t rank, double now) {
     Served& result = results_[rank];
     ++result.offered;
@@ -227,5 +231,37 @@
     EXPECT_LE(MaxStartsInWindow(load.starts(server)), kMaxStarts);
 }
 
+// Other nodes send what a large server takes to a node that has just restarted.
+TEST(RateLimitLoadTest, ARestartedNodeDoesNotExceedALimitItHasYetToLearn) {
+  constexpr double kLowLimitPerSecond = 6;
+  constexpr std::size_t kMaxStartsAtLowLimit = 41;
+  ServerQueue queue;
+  queue.SetSlots(kSlots);
+  std::vector<double> starts;
+  std::deque<double> ends;
+  for (int ms = 0; ms < 4000; ++ms) {
+    QueuedCall call;
+    call.ticket = static_cast<Ticket>(ms + 1);
+    call.route = kRoute;
+    call.goal = At(ms + 1200);
+    call.deadline = At(ms + 5000);
+    call.max_wait = milliseconds(600);
+    std::size_t started =
+        queue.Offer(call, At(ms)).outcome == QueueOutcome::kStart ? 1 : 0;
+    while (!ends.empty() && ends.front() <= ms) {
+      queue.rate_limit().OnAnswer(kLowLimitPerSecond,
+                                  At(ends.front() - kServiceMs), At(ms));
+      ends.pop_front();
+      started +=
+          queue.Finish(kRoute, milliseconds(120), true, At(ms)).start.size();
+    }
+    started += queue.Tick(At(ms)).start.size();
+    starts.insert(starts.end(), started, ms);
+    ends.insert(ends.end(), started, ms + kServiceMs);
+  }
+  EXPECT_GT(starts.size(), 4 * kLowLimitPerSecond);
+  EXPECT_LE(starts.size(), kMaxStartsAtLowLimit);
+}
+
 }  // namespace
 }  // namespace sesamespread::coordination
--- a/unittests/coordination/server_queue_test.cc
+++ b/unittests/coordination/server_queue_test.cc
@@ -37,7 +37,10 @@
 
 class ServerQueueTest : public ::testing::Test {
  protected:
-  ServerQueueTest() { queue_.SetSlots(4); }
+  ServerQueueTest() {
+    queue_.SetSlots(4);
+    queue_.rate_limit().OnAnswer(std::nullopt, At(0), At(0));
+  }
 
   QueueOutcome Offer(const QueuedCall& call, std::int64_t ms) {
     return queue_.Offer(call, At(ms)).outcome;
@@ -148,6 +151,7 @@
 TEST(ServerQueueLoadTest, CallsOfImportantRequestsWaitBrieflyUnderOverload) {
   ServerQueue queue;
   queue.SetSlots(18);
+  queue.rate_limit().OnAnswer(std::nullopt, At(0), At(0));
   std::mt19937_64 random(1);
   std::exponential_distribution<double> gap(1.2 * 17 / 15.0);  // per ms
   std::exponential_distribution<double> work(1 / 15.0);
