Bound the answers that callers have yet to read

Cause: an answer stays in the node's memory until its caller has read it or the send timeout of 10 s has passed, 16 MB each and with no bound for all callers together. A node whose memory exceeds the host's bound is killed, which fails all requests on it.

Change: the unsent bytes of all answers of a server are summed; past 32 MB the connection whose caller has not read for the longest time is reset, so that its answer does not look complete.

--- a/include/sesamespread/transport/http_server.h
+++ b/include/sesamespread/transport/http_server.h
@@ -27,6 +27,9 @@
   /// Largest sum of the bodies of all requests that are being received. If it
   /// is exceeded, the request with the largest body is refused with kNodeBusy.
   std::size_t max_received_bytes = 64 << 20;
+  /// Largest sum of the unsent bytes of all answers. If it is exceeded, the
+  /// connection whose caller has not read for the longest time is reset.
+  std::size_t max_unsent_bytes = 64 << 20;
   /// Longest time from the first byte of a request to its last.
   state::Duration receive_timeout = std::chrono::seconds(10);
   /// Longest time without progress while an answer is written.
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -133,6 +133,9 @@
   void OnAccept(const error_code& error, tcp::socket socket);
   void ScheduleSweep();
   void Sweep();
+  // Resets connections whose callers read slowly until the unsent bytes of all
+  // answers are within their bound.
+  void LimitUnsentBytes();
   // Closes the connections that have been idle for the longest time, so that
   // new ones are not refused. See kFreeShareDivisor.
   void CloseSurplusIdleConnections();
@@ -148,6 +151,8 @@
   /// Includes the `refused_count_` connections over the limit.
   std::unordered_set<std::shared_ptr<Connection>> connections_;
   std::size_t refused_count_ = 0;
+  /// Sum of unsent_bytes() of all connections.
+  std::size_t unsent_bytes_ = 0;
   bool draining_ = false;
   bool stopping_ = false;
   bool sweep_scheduled_ = false;
@@ -202,10 +207,19 @@
                   "the request was not received in time");
       return;
     }
-    // A reset frees the send buffer of a caller that does not read.
-    error_code error;
     if (phase_ == Phase::kWriting)
-      socket_.set_option(tcp::socket::linger(true, 0), error);
+      Reset();
+    else
+      Close();
+  }
+
+  /// Bytes of the answer that the socket has not taken yet.
+  std::size_t unsent_bytes() const { return unsent_bytes_; }
+
+  /// Closes the connection and frees its send buffer.
+  void Reset() {
+    error_code error;
+    socket_.set_option(tcp::socket::linger(true, 0), error);
     Close();
   }
 
@@ -214,6 +228,7 @@
       return;
     phase_ = Phase::kClosed;
     server_->bodies_.Remove(this);
+    SetUnsentBytes(0);
     error_code error;
     socket_.close(error);
     const std::function<void()> dropped = std::move(on_abandoned_);
@@ -425,6 +440,13 @@
     written_ = 0;
     phase_ = Phase::kWriting;
     Write();
+    SetUnsentBytes(header_.size() + body_.size());
+    server_->LimitUnsentBytes();
+  }
+
+  void SetUnsentBytes(std::size_t bytes) {
+    server_->unsent_bytes_ += bytes - unsent_bytes_;
+    unsent_bytes_ = bytes;
   }
 
   void Write() {
@@ -453,7 +475,8 @@
       return;
     }
     written_ += size;
-    if (written_ < header_.size() + body_.size()) {
+    SetUnsentBytes(header_.size() + body_.size() - written_);
+    if (unsent_bytes_ > 0) {
       Write();
       return;
     }
@@ -515,6 +538,7 @@
   std::string header_;
   std::string body_;
   std::size_t written_ = 0;
+  std::size_t unsent_bytes_ = 0;
   std::size_t lingered_bytes_ = 0;
 };
 
@@ -640,6 +664,22 @@
   ScheduleSweep();
 }
 
+void HttpServer::Impl::LimitUnsentBytes() {
+  while (unsent_bytes_ > options_.max_unsent_bytes) {
+    // The deadline of an answer is the time of its last progress plus a
+    // constant.
+    Connection* slowest = nullptr;
+    for (const auto& connection : connections_) {
+      const bool is_slower =
+          connection->unsent_bytes() > 0 &&
+          (!slowest || connection->deadline() < slowest->deadline());
+      if (is_slower)
+        slowest = connection.get();
+    }
+    slowest->Reset();
+  }
+}
+
 void HttpServer::Impl::CloseSurplusIdleConnections() {
   const std::size_t target_count =
       options_.max_connections / kFreeShareDivisor * (kFreeShareDivisor - 1);
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -46,6 +46,9 @@
 /// memory of the smallest hosts.
 constexpr std::size_t kMaxCallerReceivedBytes = 32 << 20;
 
+/// Bound on the answers that callers have yet to read together.
+constexpr std::size_t kMaxCallerUnsentBytes = 32 << 20;
+
 /// Key of the document in a ConfigurationPush.
 constexpr char kDocumentEntry[] = "document";
 
@@ -55,6 +58,7 @@
   options.max_header_bytes = kMaxCallerHeaderBytes;
   options.max_body_bytes = kMaxCallerBodyBytes;
   options.max_received_bytes = kMaxCallerReceivedBytes;
+  options.max_unsent_bytes = kMaxCallerUnsentBytes;
   options.receive_timeout = kReceiveTimeout;
   options.idle_timeout = kCallerIdleTimeout;
   return options;
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -45,6 +45,22 @@
     return peer;
   }
 
+  /// Answers a caller that does not read with a body of \p body_bytes.
+  RawPeer SendToSlowReader(std::size_t body_bytes) {
+    RawPeer peer(context_);
+    peer.socket().open(boost::asio::ip::tcp::v4());
+    peer.socket().set_option(
+        boost::asio::socket_base::receive_buffer_size(4096));
+    peer.Connect(server_->port());
+    peer.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::size_t held = held_.size();
+    EXPECT_TRUE(RunUntil(context_, [&] { return held_.size() > held; }));
+    HttpResponse response;
+    response.body.assign(body_bytes, 'a');
+    held_.back()->Respond(std::move(response));
+    return peer;
+  }
+
   /// Sends \p bytes on a new connection and expects an answer with \p status,
   /// problem details with \p result, and then the end of the connection.
   void ExpectProblem(std::string_view bytes, int status, int result) {
@@ -252,19 +268,29 @@
   HttpServerOptions options;
   options.send_timeout = std::chrono::milliseconds(40);
   Start(options);
-  RawPeer peer(context_);
-  peer.socket().open(boost::asio::ip::tcp::v4());
-  peer.socket().set_option(boost::asio::socket_base::receive_buffer_size(4096));
-  peer.Connect(server_->port());
-  peer.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
-  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
-  HttpResponse response;
-  response.body.assign(32 << 20, 'a');
-  held_[0]->Respond(std::move(response));
+  const RawPeer peer = SendToSlowReader(32 << 20);
   EXPECT_TRUE(
       RunUntil(context_, [&] { return server_->connection_count() == 0; }));
 }
 
+// Guards against callers that together exhaust the memory because they don't
+// read their answers. The one that has not read for the longest time is reset.
+TEST_F(HttpServerTest, LimitsTheSumOfUnsentAnswers) {
+  HttpServerOptions options;
+  options.max_unsent_bytes = 40 << 20;
+  Start(options);
+  RawPeer first = SendToSlowReader(16 << 20);
+  const RawPeer second = SendToSlowReader(16 << 20);
+  EXPECT_EQ(server_->connection_count(), 2U);
+  const RawPeer third = SendToSlowReader(16 << 20);
+  EXPECT_EQ(server_->connection_count(), 2U);
+  EXPECT_TRUE(first.ExpectClose());
+  EXPECT_LT(first.received().size(), 16U << 20);
+  RawPeer other = Connect();
+  other.Send(kGet);
+  EXPECT_TRUE(other.Expect("/a"));
+}
+
 // Connections over the limit must be refused with a Retry-After field, and must
 // not displace those that are served.
 TEST_F(HttpServerTest, RefusesConnectionsOverTheLimit) {
