Destroy the links of a directory test before its context

Cause: the address sanitizer reports a use after free in two tests of NodeDirectoryTest: their accepted links are destroyed after the io_context that their sockets belong to.

Change: the fixture declares the links after the context. Checks are unchanged.

--- a/unittests/transport/node_directory_test.cc
+++ b/unittests/transport/node_directory_test.cc
@@ -48,9 +48,9 @@
     return condition();
   }
 
+  boost::asio::io_context context_{1};
   // The links accepted by a peer that sends a hello and nothing after it.
   std::vector<std::shared_ptr<PeerLink>> accepted_;
-  boost::asio::io_context context_{1};
   PeerListener listener_{context_,
                          {"127.0.0.1", 0},
                          [this](std::shared_ptr<PeerLink> link) {
