Use larger answers in the test of unsent answers

Cause: the sum of the unsent answers exceeded the bound only if the sockets of each connection took less than 4 MB. In the sanitizer build, which gives them more time, they took 4 MB and no connection was reset.

Change: answers of 32 MB instead of 16 MB, so that the sockets may take 8 MB each.

--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -276,16 +276,18 @@
 // Guards against callers that together exhaust the memory because they don't
 // read their answers. The one that has not read for the longest time is reset.
 TEST_F(HttpServerTest, LimitsTheSumOfUnsentAnswers) {
+  // The sockets of a connection take a few megabytes.
+  constexpr std::size_t kAnswerBytes = 32 << 20;
   HttpServerOptions options;
-  options.max_unsent_bytes = 40 << 20;
+  options.max_unsent_bytes = 5 * kAnswerBytes / 2;
   Start(options);
-  RawPeer first = SendToSlowReader(16 << 20);
-  const RawPeer second = SendToSlowReader(16 << 20);
+  RawPeer first = SendToSlowReader(kAnswerBytes);
+  const RawPeer second = SendToSlowReader(kAnswerBytes);
   EXPECT_EQ(server_->connection_count(), 2U);
-  const RawPeer third = SendToSlowReader(16 << 20);
+  const RawPeer third = SendToSlowReader(kAnswerBytes);
   EXPECT_EQ(server_->connection_count(), 2U);
   EXPECT_TRUE(first.ExpectClose());
-  EXPECT_LT(first.received().size(), 16U << 20);
+  EXPECT_LT(first.received().size(), kAnswerBytes);
   RawPeer other = Connect();
   other.Send(kGet);
   EXPECT_TRUE(other.Expect("/a"));
