--- a/test/route_node/server_statement_test.cc
+++ b/test/route_node/server_statement_test.cc
@@ -112,9 +112,7 @@
   EXPECT_GT(served_, 10 * failed_);
 }
 
-// Guards against orders that are refused like reads although the limits of all
-// servers of a large service together would allow them: a request that asks one
-// server after the other never waits in the order of its rank.
+// Guards against orders that never wait at a limited server in order of rank.
 TEST(ServiceRateLimitTest, OrdersAreServedWhileAllServersLimitTheirRate) {
   constexpr std::size_t kStockServers = 16;
   constexpr double kPerSecond = 2;
