--- a/test/route_node/planned_stop_test.cc
+++ b/test/route_node/planned_stop_test.cc
@@ -178,8 +178,7 @@
   std::string received;
 };
 
-// Guards against requests that arrive late in the grace time, are passed on to
-// a server and then cut off by the end of the process.
+// Guards against requests that are passed on and cut off as the process ends.
 TEST(PlannedStopTest, RequestsLateInTheGraceAreNotCutOff) {
   constexpr Stage kLate = {"the last part sent late", 0.9, 1};
   constexpr milliseconds kStep{25};
@@ -252,8 +251,7 @@
   }
 }
 
-// Guards against calls of a running request that the stopping node passes on
-// late in the grace time and then cuts off.
+// Guards against calls of a running request that the end of the node cuts off.
 TEST(PlannedStopTest, CallsLateInTheGraceAreAnswered) {
   RouteDeployment deployment({{"shop", "stock", "stock"}});
   ASSERT_TRUE(deployment.WaitUntilServing());
--- a/test/route_node/server_fault_test.cc
+++ b/test/route_node/server_fault_test.cc
@@ -153,8 +153,7 @@
   }
 }
 
-// Guards against an order that is refused although it runs, or runs again,
-// because a copy of the refusal of its previous send carries the same id.
+// The copy carries the id of the request, which does not tell it apart.
 TEST_F(ServerFaultTest, ACopyOfTheRefusalOfTheSameRequestIsNotBelieved) {
   constexpr int kRounds = 12;
   constexpr int kServedPerRound = 20;
@@ -282,8 +281,7 @@
   }
 }
 
-// Guards against a success made of an answer whose head the server did not end,
-// at any byte of it, with each way to tell the length of the body.
+// Ends the head at each of its bytes, for each way to tell the body's length.
 TEST_F(ServerFaultTest, AHeadThatBreaksOffIsNoSuccess) {
   constexpr const char* kFramings[] = {"Content-Length: 14\r\n",
                                        "Transfer-Encoding: chunked\r\n", ""};
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -69,8 +69,7 @@
   ExpectDeliveryGuarantees(options);
 }
 
-// Guards against rate limits and leaves that nodes forget while they restart,
-// pause or lose their links.
+// Guards against rate limits and leaves that nodes forget under other faults.
 TEST(RouteSoakStatementTest, KeepsDeliveryGuarantees) {
   SoakOptions options;
   options.seed = 24;
--- a/unittests/coordination/server_queue_test.cc
+++ b/unittests/coordination/server_queue_test.cc
@@ -106,8 +106,7 @@
   EXPECT_EQ(actions.refuse.front().ticket, 5U);
 }
 
-// Guards against requests beyond the stated rate by calls that arrive while
-// others wait for it, or when a slot becomes free.
+// Guards against calls that start when a slot becomes free, beyond the rate.
 TEST_F(ServerQueueTest, CallsWaitForTheRateLimit) {
   queue_.rate_limit().OnAnswer(10.0, At(0), At(0));
   EXPECT_EQ(Offer(MakeCall(1, At(100)), 100), QueueOutcome::kStart);
@@ -121,8 +120,7 @@
   EXPECT_EQ(queue_.Tick(At(310)).start, (std::vector<Ticket>{3}));
 }
 
-// Guards against a queue at a limited server, and the overload that it would
-// report, while other servers have room.
+// Guards against a queue at a limited server while other servers have room.
 TEST_F(ServerQueueTest, CallsWithAlternativesDoNotWaitForTheRateLimit) {
   queue_.rate_limit().OnAnswer(10.0, At(0), At(0));
   QueuedCall call = MakeCall(1, At(0));
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -375,8 +375,7 @@
   EXPECT_EQ(Await(Send("/read/1", "r2")).status, 503);
 }
 
-// Guards against calls that a stopping node passes on although it ends before
-// they do.
+// Guards against calls that a node passes on although it ends before they do.
 TEST_F(EntryRequestHandlerTest, AStoppingNodeRefusesCallsThatItCannotAnswer) {
   std::vector<std::shared_ptr<HttpExchange>> pending;
   backend_ = [&pending](auto exchange) {
@@ -391,8 +390,7 @@
   EXPECT_EQ(requests_.size(), 1U);
 }
 
-// Guards against a request without answer at the end of a stop, and against the
-// promise that a request at a server has not run.
+// Guards against an order without answer, or called not run, as the node ends.
 TEST_F(EntryRequestHandlerTest, TheEndOfAStopAnswersRequestsInProgress) {
   std::vector<std::shared_ptr<HttpExchange>> pending;
   backend_ = [&pending](auto exchange) {
@@ -406,8 +404,7 @@
   EXPECT_EQ(Await(Send("/order/1", "r2")).status, 503);
 }
 
-// Guards against a limit that stays after the server has lifted it, and against
-// one that is taken from an answer of another server or instance.
+// Guards against a limit of another server or instance, or one that was lifted.
 TEST_F(EntryRequestHandlerTest, ARateLimitIsThatOfTheCurrentServer) {
   std::optional<std::string> limit = "40";
   std::uint16_t status = 200;
