Refuse a frame for a full queue before it is compressed

A node could get another path, id or body than was sent to it, so that a server runs what no client asked for.

Cause: on links to other zones small frames are parts of one deflate stream. A frame that the full queue of a link (48 MB) did not take had been added to the stream already, so that the frames after it refer to bytes that the receiver never got. A raw deflate stream has no checksum: the receiver reads other bytes than were sent, and a frame whose structure is still valid is accepted.

Change: the bound is checked before the frame is compressed.

Evidence: PeerCallsTest.CompressedLinksStayReadableAfterAFullQueue failed: 100 calls sent after the queue was full were received with other contents, and the link was not closed.

--- a/lib/transport/peer_link.cc
+++ b/lib/transport/peer_link.cc
@@ -49,10 +49,11 @@
   if (!open_)
     return false;
   std::string frame = protocol::EncodeFrame(message);
-  if (compressor_ && frame.size() <= kMaxCompressedFrame)
-    frame = CompressFrame(frame);
   if (queued_bytes_ + frame.size() > kMaxQueuedBytes)
     return false;
+  // A compressed frame must be sent, because later ones refer to its bytes.
+  if (compressor_ && frame.size() <= kMaxCompressedFrame)
+    frame = CompressFrame(frame);
   queued_bytes_ += frame.size();
   added_bytes_ += frame.size();
   queue_.push_back(std::move(frame));
--- a/unittests/transport/peer_calls_test.cc
+++ b/unittests/transport/peer_calls_test.cc
@@ -343,5 +343,55 @@
   }
 }
 
+// Guards against frames that refer to bytes of a frame which the full queue of
+// the link did not take.
+TEST_F(PeerCallsTest, CompressedLinksStayReadableAfterAFullQueue) {
+  std::shared_ptr<PeerLink> receiver;
+  PeerListener listener(
+      context_, {"127.0.0.1", 0},
+      [&](std::shared_ptr<PeerLink> link) { receiver = std::move(link); });
+  std::shared_ptr<PeerLink> sender;
+  ConnectPeer(context_, {"127.0.0.1", listener.port()}, kPeerConnectTimeout,
+              [&](std::shared_ptr<PeerLink> link) { sender = link; });
+  ASSERT_TRUE(RunUntil([&] { return sender && receiver; }));
+  sender->EnableCompression();
+  std::vector<protocol::CallRequest> accepted;
+  const auto send = [&](const std::string& path, std::size_t body_bytes) {
+    protocol::CallRequest request = MakeRequest(path);
+    request.body.assign(body_bytes, 'b');
+    const bool is_sent = sender->Send(request);
+    if (is_sent)
+      accepted.push_back(std::move(request));
+    return is_sent;
+  };
+  constexpr std::size_t kLargeBytes = 7 << 20;
+  constexpr std::size_t kSmallBytes = 1 << 10;
+  int number = 0;
+  const auto next_path = [&] { return "/" + std::to_string(number++); };
+  while (send(next_path(), kLargeBytes)) {
+  }
+  while (send(next_path(), kSmallBytes)) {
+  }
+  std::vector<protocol::CallRequest> received;
+  std::string closed_because;
+  receiver->Start(
+      [&](protocol::PeerMessage message) {
+        received.push_back(std::get<protocol::CallRequest>(std::move(message)));
+      },
+      [&](const std::string& why) { closed_because = why; });
+  ASSERT_TRUE(RunUntil([&] { return received.size() == accepted.size(); }))
+      << closed_because;
+  for (int i = 0; i < 100; ++i)
+    ASSERT_TRUE(send(next_path(), 100));
+  EXPECT_TRUE(RunUntil([&] {
+    return received.size() == accepted.size() || !closed_because.empty();
+  }));
+  EXPECT_EQ(closed_because, "");
+  EXPECT_TRUE(received == accepted);
+  sender->Close("test ends");
+  receiver->Close("test ends");
+  RunUntil([&] { return !closed_because.empty(); });
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
