Test answers that break off on a compressed link

Change: a peer writes an answer as a compressed frame and ends the connection at each byte of it, by an orderly shutdown and by a reset; the whole frame is the positive case.

--- a/unittests/transport/peer_calls_test.cc
+++ b/unittests/transport/peer_calls_test.cc
@@ -4,13 +4,19 @@
 /// silent.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "sesamespread/protocol/codec.h"
+#include "sesamespread/transport/frame_compression.h"
 #include "sesamespread/transport/inbound_calls.h"
 #include "sesamespread/transport/outbound_calls.h"
 
@@ -393,5 +399,77 @@
   RunUntil([&] { return !closed_because.empty(); });
 }
 
+// The bytes of \p message as a frame of a compressed link.
+std::string CompressedFrame(FrameCompressor& compressor,
+                            const protocol::PeerMessage& message) {
+  constexpr std::uint32_t kCompressedFlag = 1U << 31;
+  const std::string frame = protocol::EncodeFrame(message);
+  const std::string payload =
+      compressor.Compress(frame.substr(protocol::kFrameHeaderBytes));
+  std::string bytes;
+  for (std::size_t i = 0; i < protocol::kFrameHeaderBytes; ++i) {
+    bytes += static_cast<char>(
+        (static_cast<std::uint32_t>(payload.size()) | kCompressedFlag) >>
+        (8 * i));
+  }
+  return bytes + payload;
+}
+
+// Guards against an answer that counts as complete although the compressed link
+// that carried it was cut at any byte of it.
+TEST_F(PeerCallsTest, ACutCompressedAnswerIsNoAnswer) {
+  state::NodeId node = 100;
+  const auto play = [&](std::size_t cut, bool is_reset) {
+    // The links of earlier nodes may be opened again.
+    ++node;
+    boost::asio::ip::tcp::acceptor acceptor(
+        context_, {boost::asio::ip::address_v4::loopback(), 0});
+    const state::Endpoint endpoint{"127.0.0.1",
+                                   acceptor.local_endpoint().port()};
+    FrameCompressor compressor;
+    protocol::CallRequest request = MakeRequest("/");
+    protocol::CallAnswer answer;
+    answer.request_id = request.request_id;
+    answer.run_state = RunState::kRan;
+    answer.http_status = 200;
+    answer.body = "the body of an answer";
+    answer.body_size = answer.body.size();
+    answer.body_digest = protocol::DigestOf(answer.body);
+    std::optional<protocol::CallAnswer> got;
+    answer.call_id = outbound_.Call(
+        node, endpoint, std::move(request), Now() + std::chrono::seconds(5),
+        kMaxAnswer, [&got](protocol::CallAnswer received) { got = received; });
+    std::optional<boost::asio::ip::tcp::socket> peer;
+    acceptor.async_accept([&peer](const boost::system::error_code&,
+                                  boost::asio::ip::tcp::socket socket) {
+      peer.emplace(std::move(socket));
+    });
+    EXPECT_TRUE(RunUntil([&] { return peer.has_value(); }));
+    const std::string hello =
+        protocol::EncodeFrame(protocol::Hello{node, 1, "cut"});
+    const std::string frame = CompressedFrame(compressor, answer);
+    const std::size_t size = std::min(cut, frame.size());
+    boost::asio::write(*peer,
+                       boost::asio::buffer(hello + frame.substr(0, size)));
+    if (size < frame.size() && is_reset) {
+      peer->set_option(boost::asio::socket_base::linger(true, 0));
+      peer->close();
+    } else if (size < frame.size()) {
+      peer->shutdown(boost::asio::socket_base::shutdown_send);
+    }
+    EXPECT_TRUE(RunUntil([&] { return got.has_value(); }));
+    outbound_.RemoveNode(node);
+    EXPECT_EQ(got && got->result == ResultCode::kOk, size == frame.size())
+        << size << " of " << frame.size();
+    return frame.size();
+  };
+  const std::size_t frame_size = play(std::string::npos, false);
+  for (std::size_t cut = 0; cut < frame_size; ++cut) {
+    play(cut, true);
+    play(cut, false);
+  }
+  RecordProperty("cuts", static_cast<int>(2 * frame_size));
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
