--- a/unittests/transport/peer_calls_test.cc
+++ b/unittests/transport/peer_calls_test.cc
@@ -370,13 +370,12 @@
       accepted.push_back(std::move(request));
     return is_sent;
   };
-  constexpr std::size_t kLargeBytes = 7 << 20;
-  constexpr std::size_t kSmallBytes = 1 << 10;
   int number = 0;
   const auto next_path = [&] { return "/" + std::to_string(number++); };
-  while (send(next_path(), kLargeBytes)) {
-  }
-  while (send(next_path(), kSmallBytes)) {
+  // The smallest ones are compressed.
+  for (const std::size_t body_bytes : {7 << 20, 512 << 10, 32 << 10, 1 << 10}) {
+    while (send(next_path(), body_bytes)) {
+    }
   }
   std::vector<protocol::CallRequest> received;
   std::string closed_because;
