Read the leaves again as soon as the store answers

Cause: a node that starts while the store fails reads the table of leaves again after 250, 500, ... ms. In the log the store answered the read of the routes 505 ms after the start and the next read of the leaves was due later. After 600 ms without the leaves the node trusts the health check, and it heard of the leave from another node only 1.3 s after its start. Class of fault: an input that is waited for is not asked for although its source is back.

Change: once the store answers the document's read again, the leaves are read at once; a scheduled read that is not needed any more is left out.

--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -145,6 +145,9 @@
     Log(is_connected ? LogLevel::kInfo : LogLevel::kWarning,
         is_connected ? "store_regained" : "store_lost",
         {{"detail", reply.detail}, {"version", std::to_string(version())}});
+    // The delay before the next attempt may end after kLeaveStateTimeout.
+    if (is_connected && !leaves_read_from_store_)
+      ReadLeaveTable();
   }
   for (const coordination::StoreRow& row : reply.rows) {
     if (row.key == interface_.document_key && !row.is_removed)
@@ -327,8 +330,10 @@
     // after kLeaveStateTimeout.
     leave_table_retry_delay_ = std::clamp(
         leave_table_retry_delay_ * 2, kMinTableRetryDelay, kMaxTableRetryDelay);
-    deadlines_.Schedule(Now() + leave_table_retry_delay_,
-                        [this] { ReadLeaveTable(); });
+    deadlines_.Schedule(Now() + leave_table_retry_delay_, [this] {
+      if (!leaves_read_from_store_)
+        ReadLeaveTable();
+    });
     return;
   }
   const std::size_t prefix = LeaveKeyPrefix().size();
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -32,6 +32,10 @@
     {314, "same as 123"},
 };
 
+std::string SeedName(const testing::TestParamInfo<SoakSeed>& seed) {
+  return "Seed" + std::to_string(seed.param.seed);
+}
+
 class RouteSoakTest : public testing::TestWithParam<SoakSeed> {};
 
 void ExpectDeliveryGuarantees(SoakOptions options) {
@@ -54,9 +58,7 @@
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          RouteSoakTest,
                          testing::ValuesIn(kSeeds),
-                         [](const auto& seed) {
-                           return "Seed" + std::to_string(seed.param.seed);
-                         });
+                         SeedName);
 
 // Guards against bytes of a backend server or of another node that reach a
 // caller as an answer, end a node, or make an order run again.
@@ -69,14 +71,26 @@
   ExpectDeliveryGuarantees(options);
 }
 
+constexpr SoakSeed kStatementSeeds[] = {
+    {24, "no known fault"},
+    {2723, "a leave was read late after a restart while the store failed"},
+};
+
+class RouteSoakStatementTest : public testing::TestWithParam<SoakSeed> {};
+
 // Guards against rate limits and leaves that nodes forget under other faults.
-TEST(RouteSoakStatementTest, KeepsDeliveryGuarantees) {
+TEST_P(RouteSoakStatementTest, KeepsDeliveryGuarantees) {
   SoakOptions options;
-  options.seed = 24;
+  options.seed = GetParam().seed;
   options.has_server_statements = true;
   ExpectDeliveryGuarantees(options);
 }
 
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         RouteSoakStatementTest,
+                         testing::ValuesIn(kStatementSeeds),
+                         SeedName);
+
 class SoakCheckTest : public testing::Test {
  protected:
   static CallerRecord AnsweredRecord(const std::string& id) {
