Guard what server fault tests share with the threads of their servers

Cause: the thread sanitizer reports six data races in ServerFaultTest, all in the tests: the stand-in server's threads read the bytes to send while the test sets the next ones, and may run after the test's variables are gone. None was reported in the nodes' own code.

Change: the shared values are atomic or guarded, and each test ends its server before its variables. Checks are unchanged.

--- a/test/route_node/server_fault_test.cc
+++ b/test/route_node/server_fault_test.cc
@@ -40,6 +40,9 @@
                                         std::move(handler));
   }
 
+  // Called at the end of each test, whose variables the handler uses.
+  void StopServer() { raw_.reset(); }
+
   void TearDown() override {
     if (HasFailure())
       std::cerr << deployment_->CollectDiagnostics();
@@ -151,6 +154,7 @@
       }
     }
   }
+  StopServer();
 }
 
 // The copy carries the id of the request, which does not tell it apart.
@@ -210,6 +214,7 @@
   }
   // Otherwise the case has not been played.
   EXPECT_GT(sent_again, kRounds / 2);
+  StopServer();
 }
 
 // --- Answers that break off
@@ -255,12 +260,13 @@
 // success, and against an order that runs again or counts as not run because
 // its answer was lost.
 TEST_F(ServerFaultTest, AnAnswerThatBreaksOffIsNoSuccess) {
-  const Break* tried = nullptr;
+  std::atomic<const Break*> tried = nullptr;
   Start([&](const std::string& id, RawConnection& connection) {
-    connection.Write(fmt::format(fmt::runtime(tried->bytes), id));
+    const Break& current = *tried.load();
+    connection.Write(fmt::format(fmt::runtime(current.bytes), id));
     // A reset may overtake the bytes; the client reads them first.
     std::this_thread::sleep_for(milliseconds(5));
-    connection.Close(tried->reset);
+    connection.Close(current.reset);
   });
   int number = 0;
   for (const Break& entry : kBreaks) {
@@ -279,14 +285,17 @@
       }
     }
   }
+  StopServer();
 }
 
 // Ends the head at each of its bytes, for each way to tell the body's length.
 TEST_F(ServerFaultTest, AHeadThatBreaksOffIsNoSuccess) {
   constexpr const char* kFramings[] = {"Content-Length: 14\r\n",
                                        "Transfer-Encoding: chunked\r\n", ""};
+  std::mutex mutex;
   std::string bytes;
   Start([&](const std::string&, RawConnection& connection) {
+    const std::lock_guard lock(mutex);
     connection.Write(bytes);
     connection.Close(false);
   });
@@ -298,13 +307,17 @@
         "\r\n\r\n",
         id, framing);
     for (std::size_t size = 0; size < head.size(); ++size) {
-      bytes = head.substr(0, size);
+      {
+        const std::lock_guard lock(mutex);
+        bytes = head.substr(0, size);
+      }
       const bool is_order = size % 2 == 0;
       const auto result = Send(id, is_order, size % 4 < 2);
       EXPECT_GE(result.status, 500) << bytes;
       EXPECT_NE(result.status, kUnavailable) << bytes;
     }
   }
+  StopServer();
 }
 
 // --- Bytes without end
@@ -395,6 +408,7 @@
   RecordProperty("peak_kib", static_cast<int>(peak_kib));
   // The node is still there.
   EXPECT_TRUE(deployment_->IsReady(deployment_->stock(0)));
+  StopServer();
 }
 
 }  // namespace
