Log the era of the store and the version that is watched

The client of the store reads the era that each answer states; the node logs store_era_changed, store_history_lost and store_version_lower and exports both figures as gauges. No decision uses them.

--- a/include/sesamespread/coordination/row_store.h
+++ b/include/sesamespread/coordination/row_store.h
@@ -31,6 +31,10 @@
   std::vector<StoreRow> rows;
   /// Newest version of the whole store at that point.
   std::uint64_t version = 0;
+  /// Number of the store's history, also in replies to calls that failed; 0 if
+  /// not stated. It rises when the store comes back from an older copy, after
+  /// which versions are given out again.
+  std::uint64_t era = 0;
   /// The store no longer has the changes after the requested version, so the
   /// whole table must be read.
   bool is_history_lost = false;
@@ -39,12 +43,22 @@
   auto operator<=>(const RowsReply&) const = default;
 };
 
+/// Reply to a write.
+struct WriteReply {
+  StoreStatus status = StoreStatus::kDone;
+  /// As RowsReply::era.
+  std::uint64_t era = 0;
+  std::string detail;
+
+  auto operator<=>(const WriteReply&) const = default;
+};
+
 /// The store. Each callback runs exactly once and within a bounded time, never
 /// inside the call that passes it and never after the destruction of the store.
 class RowStore {
  public:
   using RowsCallback = std::function<void(RowsReply)>;
-  using WriteCallback = std::function<void(StoreStatus, std::string detail)>;
+  using WriteCallback = std::function<void(WriteReply)>;
 
   virtual ~RowStore() = default;
 
--- a/include/sesamespread/coordination/table_watch.h
+++ b/include/sesamespread/coordination/table_watch.h
@@ -61,6 +61,9 @@
   /// Whether the last call succeeded; false before the first.
   bool is_connected() const { return is_connected_; }
 
+  /// The version after which changes are watched.
+  std::uint64_t version() const { return version_; }
+
  private:
   state::Duration Jittered(state::Duration duration);
 
--- a/include/sesamespread/transport/metrics.h
+++ b/include/sesamespread/transport/metrics.h
@@ -33,6 +33,8 @@
   double gossip_bytes_sent = 0;
   double servers_available = 0;
   double store_age_seconds = 0;
+  double store_era = 0;
+  double store_version = 0;
   double report_age_seconds = 0;
   double log_lines_lost = 0;
 };
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -91,6 +91,11 @@
   void ReadOrWatchDocument();
   coordination::StoreReaderInput MakeStoreReaderInput(state::Instant now) const;
   void OnDocumentRows(const coordination::RowsReply& reply);
+  // Logs a lost history of the store, and versions that went back.
+  void LogPositionChange(const coordination::RowsReply& reply,
+                         std::uint64_t watched_after);
+  // An answer of the store states \p era; 0 if it states none.
+  void OnStoreEra(std::uint64_t era);
   void ApplyDocument(const std::string& document, std::string_view source);
   // Notifies some random peers of the version in force.
   void AnnounceVersion();
@@ -190,6 +195,8 @@
   HttpServer report_server_;
   HttpServer ready_server_;
 
+  // The era of the store in its last answer; 0 before the first one.
+  std::uint64_t store_era_ = 0;
   coordination::TableWatch document_watch_;
   const coordination::StoreReaders store_readers_;
   bool is_store_reader_ = false;
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -135,9 +135,24 @@
     store_->Watch(interface_.document_table, call.after, call.wait, done);
 }
 
+void RouteNode::Impl::OnStoreEra(std::uint64_t era) {
+  if (era == 0 || era == store_era_)
+    return;
+  // The first answer after the start tells nothing of an earlier era.
+  Log(store_era_ == 0 ? LogLevel::kInfo : LogLevel::kWarning,
+      "store_era_changed",
+      {{"era", std::to_string(era)},
+       {"before", std::to_string(store_era_)},
+       {"routes", std::to_string(version())},
+       {"watched_after", std::to_string(document_watch_.version())}});
+  store_era_ = era;
+}
+
 void RouteNode::Impl::OnDocumentRows(const coordination::RowsReply& reply) {
   const Instant now = Now();
   document_call_pending_ = false;
+  OnStoreEra(reply.era);
+  const std::uint64_t watched_after = document_watch_.version();
   if (reply.status == coordination::StoreStatus::kDone)
     last_store_answer_ = now;
   if (document_watch_.OnReply(reply, now)) {
@@ -149,6 +164,7 @@
     if (is_connected && !leaves_read_from_store_)
       ReadLeaveTable();
   }
+  LogPositionChange(reply, watched_after);
   for (const coordination::StoreRow& row : reply.rows) {
     if (row.key == interface_.document_key && !row.is_removed)
       ApplyDocument(row.value, "store");
@@ -156,6 +172,21 @@
   ReadOrWatchDocument();
 }
 
+void RouteNode::Impl::LogPositionChange(const coordination::RowsReply& reply,
+                                        std::uint64_t watched_after) {
+  if (reply.is_history_lost)
+    Log(LogLevel::kWarning, "store_history_lost",
+        {{"watched_after", std::to_string(watched_after)},
+         {"era", std::to_string(reply.era)}});
+  else if (reply.status == coordination::StoreStatus::kDone &&
+           reply.version < watched_after)
+    Log(LogLevel::kWarning, "store_version_lower",
+        {{"version", std::to_string(reply.version)},
+         {"watched_after", std::to_string(watched_after)},
+         {"next_watch_after", std::to_string(document_watch_.version())},
+         {"era", std::to_string(reply.era)}});
+}
+
 void RouteNode::Impl::ApplyDocument(const std::string& document,
                                     std::string_view source) {
   std::shared_ptr<const state::RouteSet> routes;
@@ -253,6 +284,7 @@
 }
 
 void RouteNode::Impl::OnNodeRows(const coordination::RowsReply& reply) {
+  OnStoreEra(reply.era);
   if (reply.status != coordination::StoreStatus::kDone) {
     node_table_retry_delay_ = std::clamp(
         node_table_retry_delay_ * 2, kMinTableRetryDelay, kMaxTableRetryDelay);
@@ -278,7 +310,8 @@
       protocol::NodeRecordsPush{{directory_.self()}, 1, 1});
   store_->Write(interface_.node_table, settings_.name,
                 frame.substr(protocol::kFrameHeaderBytes), replaced,
-                [this](coordination::StoreStatus, const std::string&) {
+                [this](const coordination::WriteReply& reply) {
+                  OnStoreEra(reply.era);
                   ReadNodeTable();
                 });
 }
@@ -325,6 +358,7 @@
 }
 
 void RouteNode::Impl::OnLeaveRows(const coordination::RowsReply& reply) {
+  OnStoreEra(reply.era);
   if (reply.status != coordination::StoreStatus::kDone) {
     // A leave that only the store has must be applied also if the store returns
     // after kLeaveStateTimeout.
@@ -461,24 +495,24 @@
     removed.push_back(stored_leaves_.begin()->second);
     stored_leaves_.erase(stored_leaves_.begin());
   }
-  store_->Write(interface_.leave_table, key, std::to_string(left_ms), removed,
-                [this, instance, left_ms](coordination::StoreStatus status,
-                                          const std::string& detail) {
-                  if (status == coordination::StoreStatus::kDone) {
-                    const auto found = leaves_.find(instance);
-                    if (found == leaves_.end())
-                      return;
-                    found->second.durability.OnStored();
-                    AnswerLeave(instance);
-                    return;
-                  }
-                  Log(LogLevel::kWarning, "leave_not_stored",
-                      {{"instance", instance}, {"detail", detail}});
-                  deadlines_.Schedule(Now() + kStoreLeaveRetryDelay,
-                                      [this, instance, left_ms] {
-                                        StoreLeave(instance, left_ms);
-                                      });
-                });
+  store_->Write(
+      interface_.leave_table, key, std::to_string(left_ms), removed,
+      [this, instance, left_ms](const coordination::WriteReply& reply) {
+        OnStoreEra(reply.era);
+        if (reply.status == coordination::StoreStatus::kDone) {
+          const auto found = leaves_.find(instance);
+          if (found == leaves_.end())
+            return;
+          found->second.durability.OnStored();
+          AnswerLeave(instance);
+          return;
+        }
+        Log(LogLevel::kWarning, "leave_not_stored",
+            {{"instance", instance}, {"detail", reply.detail}});
+        deadlines_.Schedule(
+            Now() + kStoreLeaveRetryDelay,
+            [this, instance, left_ms] { StoreLeave(instance, left_ms); });
+      });
 }
 
 void RouteNode::Impl::ApplyUnconfirmedReport() {
