--- a/unittests/coordination/table_watch_test.cc
+++ b/unittests/coordination/table_watch_test.cc
@@ -69,6 +69,17 @@
   EXPECT_TRUE(watch.NextCall(kNodes).is_read);
 }
 
+TEST(TableWatchTest, ARestoredStoreIsWatchedFromTheVersionThatWasRead) {
+  TableWatch watch({}, 1);
+  watch.OnReply(Reply(70, true), At(0));
+  RowsReply lost;
+  lost.is_history_lost = true;
+  watch.OnReply(lost, At(100));
+  ASSERT_TRUE(watch.NextCall(kNodes).is_read);
+  watch.OnReply(Reply(61, true), At(200));
+  EXPECT_EQ(watch.NextCall(kNodes).after, 61U);
+}
+
 TEST(TableWatchTest, BacksOffAndReportsLossAndRecoveryOfTheStore) {
   TableWatch watch({}, 1);
   watch.OnReply(Reply(7, true), At(0));
