Watch a table from the position that was read, not from the largest one

After status 410 a reader read the table and then watched again after the largest version that it had ever seen. The new history reached that version with the operator's write, so that the watch was valid again and did not report it.

A watch now starts where the last read or watch of the same era ended. A reply of another era, a lower version or an era that another call states lead to a read, and the pending call is dropped.

--- a/include/sesamespread/coordination/row_store.h
+++ b/include/sesamespread/coordination/row_store.h
@@ -25,6 +25,15 @@
   auto operator<=>(const StoreRow&) const = default;
 };
 
+/// A point in the history of the store. Versions alone are no order: after the
+/// store came back from an older copy, a new era, they are given out again.
+struct StorePosition {
+  std::uint64_t era = 0;
+  std::uint64_t version = 0;
+
+  auto operator<=>(const StorePosition&) const = default;
+};
+
 /// Reply to a read or a watch: rows of one point in time.
 struct RowsReply {
   StoreStatus status = StoreStatus::kDone;
--- a/include/sesamespread/coordination/table_watch.h
+++ b/include/sesamespread/coordination/table_watch.h
@@ -46,13 +46,16 @@
 };
 
 /// State machine of the calls for one table; one call is pending at a time.
+///
+/// Invariant: a watch starts at a position that a read or watch of the same era
+/// has stated, so that it misses no change of that era.
 class TableWatch {
  public:
   TableWatch(TableWatchOptions options, std::uint64_t seed);
 
   /// The next call to make; \p nodes is the number of nodes that watch the
-  /// table, including this one.
-  TableCall NextCall(std::size_t nodes);
+  /// table, including this one. Always a read if \p may_watch is false.
+  TableCall NextCall(std::size_t nodes, bool may_watch = true);
 
   /// Handles the reply to the call that NextCall returned. \returns true if
   /// is_connected() changed.
@@ -61,17 +64,30 @@
   /// Whether the last call succeeded; false before the first.
   bool is_connected() const { return is_connected_; }
 
-  /// The version after which changes are watched.
-  std::uint64_t version() const { return version_; }
+  /// Requires a read after a hint that the store is in \p era, for example by
+  /// another node. The reply to the pending call, if any, must then be dropped.
+  /// \returns false if that era or a later one is known already.
+  bool OnEraSeen(std::uint64_t era);
+
+  /// The position after which changes are watched.
+  const StorePosition& position() const { return position_; }
 
  private:
   state::Duration Jittered(state::Duration duration);
+  // Whether all changes between position_ and the reply to a watch are in it.
+  bool ContinuesHistory(const RowsReply& reply) const;
 
   const TableWatchOptions options_;
   std::mt19937_64 random_;
   bool is_connected_ = false;
   bool needs_read_ = true;
-  std::uint64_t version_ = 0;
+  // Whether the call that NextCall returned last is a read.
+  bool is_call_read_ = true;
+  // As stated by the last read or by a watch that continues from it. It may be
+  // below an earlier position.
+  StorePosition position_;
+  // The latest era of OnEraSeen.
+  std::uint64_t seen_era_ = 0;
   state::Duration backoff_;
   state::Instant next_at_{};
 };
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -202,6 +202,8 @@
   bool is_store_reader_ = false;
   // True while a call for the document is in progress.
   bool document_call_pending_ = false;
+  // Number of the last of these calls. Replies to earlier ones are dropped.
+  std::uint64_t document_call_number_ = 0;
   state::Instant last_announcement_{};
   std::shared_ptr<const state::RouteSet> routes_;
   // The text of routes_, sent to peers that pull it.
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -121,22 +121,26 @@
   if (!store_readers_.MayCall(input))
     return;
   const coordination::TableCall call = document_watch_.NextCall(
-      store_readers_.CountReaders(directory_.zone_sizes()));
+      store_readers_.CountReaders(directory_.zone_sizes()), is_reader);
   if (call.at > now)
     return;
   document_call_pending_ = true;
   last_document_call_ = now;
-  const auto done = [this](const coordination::RowsReply& reply) {
-    OnDocumentRows(reply);
+  const auto done = [this, number = ++document_call_number_](
+                        const coordination::RowsReply& reply) {
+    OnStoreEra(reply.era);
+    // The call was replaced by one in a later era.
+    if (number == document_call_number_)
+      OnDocumentRows(reply);
   };
-  if (call.is_read || !is_reader)
+  if (call.is_read)
     store_->Read(interface_.document_table, {}, done);
   else
     store_->Watch(interface_.document_table, call.after, call.wait, done);
 }
 
 void RouteNode::Impl::OnStoreEra(std::uint64_t era) {
-  if (era == 0 || era == store_era_)
+  if (era <= store_era_)
     return;
   // The first answer after the start tells nothing of an earlier era.
   Log(store_era_ == 0 ? LogLevel::kInfo : LogLevel::kWarning,
@@ -144,15 +148,19 @@
       {{"era", std::to_string(era)},
        {"before", std::to_string(store_era_)},
        {"routes", std::to_string(version())},
-       {"watched_after", std::to_string(document_watch_.version())}});
+       {"watched_after", std::to_string(document_watch_.position().version)}});
   store_era_ = era;
+  // A watch from before may wait for a version of the lost history.
+  if (document_watch_.OnEraSeen(era) && document_call_pending_) {
+    ++document_call_number_;
+    document_call_pending_ = false;
+  }
 }
 
 void RouteNode::Impl::OnDocumentRows(const coordination::RowsReply& reply) {
   const Instant now = Now();
   document_call_pending_ = false;
-  OnStoreEra(reply.era);
-  const std::uint64_t watched_after = document_watch_.version();
+  const std::uint64_t watched_after = document_watch_.position().version;
   if (reply.status == coordination::StoreStatus::kDone)
     last_store_answer_ = now;
   if (document_watch_.OnReply(reply, now)) {
@@ -183,7 +191,8 @@
     Log(LogLevel::kWarning, "store_version_lower",
         {{"version", std::to_string(reply.version)},
          {"watched_after", std::to_string(watched_after)},
-         {"next_watch_after", std::to_string(document_watch_.version())},
+         {"next_watch_after",
+          std::to_string(document_watch_.position().version)},
          {"era", std::to_string(reply.era)}});
 }
 
--- a/unittests/coordination/table_watch_test.cc
+++ b/unittests/coordination/table_watch_test.cc
@@ -80,6 +80,39 @@
   EXPECT_EQ(watch.NextCall(kNodes).after, 61U);
 }
 
+TEST(TableWatchTest, AReplyOfAnotherEraOrALowerVersionLeadsToARead) {
+  TableWatch watch({}, 1);
+  const auto reply = [](std::uint64_t era, std::uint64_t version) {
+    RowsReply changes = Reply(version, true);
+    changes.era = era;
+    return changes;
+  };
+  watch.OnReply(reply(1, 70), At(0));
+  ASSERT_FALSE(watch.NextCall(kNodes).is_read);
+  watch.OnReply(reply(2, 75), At(1000));
+  ASSERT_TRUE(watch.NextCall(kNodes).is_read);
+  watch.OnReply(reply(2, 75), At(2000));
+  EXPECT_EQ(watch.position(), (StorePosition{2, 75}));
+  ASSERT_FALSE(watch.NextCall(kNodes).is_read);
+  watch.OnReply(reply(2, 74), At(3000));
+  EXPECT_TRUE(watch.NextCall(kNodes).is_read);
+}
+
+// Guards against reads without end after a node has claimed an era that the
+// store never reaches.
+TEST(TableWatchTest, AnEraHeardOfLeadsToOneRead) {
+  TableWatch watch({}, 1);
+  RowsReply read = Reply(70, true);
+  read.era = 1;
+  watch.OnReply(read, At(0));
+  EXPECT_FALSE(watch.OnEraSeen(1));
+  EXPECT_TRUE(watch.OnEraSeen(9));
+  EXPECT_FALSE(watch.OnEraSeen(9));
+  ASSERT_TRUE(watch.NextCall(kNodes).is_read);
+  watch.OnReply(read, At(100));
+  EXPECT_FALSE(watch.NextCall(kNodes).is_read);
+}
+
 TEST(TableWatchTest, BacksOffAndReportsLossAndRecoveryOfTheStore) {
   TableWatch watch({}, 1);
   watch.OnReply(Reply(7, true), At(0));
