Write the rows again that a restored store has forgotten

After the store comes back from a copy, a node whose row is of the lost seconds is not found by nodes that start later, and a confirmed leave is lost if all nodes restart: nobody but the node writes these rows.

A node that hears of a later era, from an answer of the store or in a version notice of a peer, reads its own row and its leaves and writes what is missing; if its own row is, it reads the table, like a node that starts. The checks are spread over 4 ms a known node, two reads each, so that they take at most a quarter of the reads that the store serves, whatever the number of hosts. A leave that only a peer still has is stored again as well. A repeated read of the table replaces the timer of the previous one.

--- a/fuzz/frame_fuzzer.cc
+++ b/fuzz/frame_fuzzer.cc
@@ -49,7 +49,7 @@
           PayloadOf(protocol::LeaveNotice{1, 2, 3}),
           PayloadOf(protocol::BackendLeft{1, "i-1", 3}),
           PayloadOf(protocol::BackendLeftPull{1}),
-          PayloadOf(protocol::VersionNotice{1, 7}),
+          PayloadOf(protocol::VersionNotice{1, 7, 3}),
           PayloadOf(protocol::ConfigurationPull{4}),
           PayloadOf(protocol::ConfigurationPush{delta, true}),
           PayloadOf(protocol::NodeRecordsPull{0}),
--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -218,6 +218,8 @@
 struct VersionNotice {
   state::NodeId node = 0;
   std::uint64_t version = 0;
+  /// The latest era of the store that the node knows; 0 if none.
+  std::uint64_t store_era = 0;
 
   auto operator<=>(const VersionNotice&) const = default;
 };
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -222,7 +222,8 @@
 
 Body Encode(FlatBufferBuilder& builder, const VersionNotice& message) {
   return {wire::PeerBody::VersionNotice,
-          wire::CreateVersionNotice(builder, message.node, message.version)
+          wire::CreateVersionNotice(builder, message.node, message.version,
+                                    message.store_era)
               .Union()};
 }
 
@@ -381,7 +382,7 @@
       return BackendLeftPull{message.body_as_BackendLeftPull()->node()};
     case wire::PeerBody::VersionNotice: {
       const auto* body = message.body_as_VersionNotice();
-      return VersionNotice{body->node(), body->version()};
+      return VersionNotice{body->node(), body->version(), body->store_era()};
     }
     case wire::PeerBody::BackendLeft: {
       const auto* body = message.body_as_BackendLeft();
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -304,7 +304,7 @@
   // The peer may have older routes or none.
   if (routes_)
     messages.emplace_back(
-        protocol::VersionNotice{directory_.self().node, version()});
+        protocol::VersionNotice{directory_.self().node, version(), store_era_});
   if (!node_table_read_ && record_pulls_sent_ < kMaxRecordPulls) {
     ++record_pulls_sent_;
     messages.emplace_back(protocol::NodeRecordsPull{0});
@@ -334,6 +334,7 @@
   if (const auto* notice = std::get_if<protocol::VersionNotice>(&message)) {
     if (directory_.is_in_own_zone(notice->node))
       last_zone_notice_ = Now();
+    OnStoreEra(notice->store_era);
     OnPeerRoutesVersion(notice->node, notice->version);
     if (notice->version > version() && !directory_.is_linked(notice->node))
       reply(protocol::ConfigurationPull{version()});
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -94,8 +94,13 @@
   // Logs a lost history of the store, and versions that went back.
   void LogPositionChange(const coordination::RowsReply& reply,
                          std::uint64_t watched_after);
-  // An answer of the store states \p era; 0 if it states none.
+  // An answer of the store or a peer states \p era; 0 if it states none. In a
+  // later era than before, the last writes may be lost.
   void OnStoreEra(std::uint64_t era);
+  // Writes the rows again that this node wrote and the store has forgotten.
+  void ScheduleOwnRowsCheck(state::Duration pause);
+  void CheckOwnRows();
+  void OnOwnNodeRow(const coordination::RowsReply& reply);
   void ApplyDocument(const std::string& document, std::string_view source);
   // Notifies some random peers of the version in force.
   void AnnounceVersion();
@@ -128,6 +133,10 @@
   void OnBackendLeft(const protocol::BackendLeft& left, const Reply& reply);
   // Applies a leave that the store or a peer supplied.
   void ProcessLeave(const std::string& instance, std::uint64_t left_ms);
+  // Whether stored_leaves_ has a row with \p key.
+  bool HasStoredLeave(const std::string& key) const;
+  // Stores the rows of stored_leaves_ whose keys are not in \p found.
+  void StoreMissingLeaves(const std::set<std::string>& found);
   // Applies a leave of the local backend server, broadcasts and stores it.
   void RecordLeave(const std::string& instance);
   void StoreLeave(const std::string& instance, std::uint64_t left_ms);
@@ -195,11 +204,16 @@
   HttpServer report_server_;
   HttpServer ready_server_;
 
-  // The era of the store in its last answer; 0 before the first one.
+  // The latest era of the store that it or a peer has stated; 0 before.
   std::uint64_t store_era_ = 0;
   coordination::TableWatch document_watch_;
   const coordination::StoreReaders store_readers_;
   bool is_store_reader_ = false;
+  // Timers in deadlines_; 0 if none.
+  DeadlineQueue::Id own_rows_check_ = 0;
+  DeadlineQueue::Id node_table_read_timer_ = 0;
+  // Whether this process has removed rows of other nodes with its address.
+  bool has_removed_node_rows_ = false;
   // True while a call for the document is in progress.
   bool document_call_pending_ = false;
   // Number of the last of these calls. Replies to earlier ones are dropped.
@@ -232,8 +246,8 @@
   // By instance. One server at a time runs beside this node, so that few leave
   // in the lifetime of a process.
   std::unordered_map<std::string, RecordedLeave> leaves_;
-  // Time and key of the rows of this host in the leave table, including those
-  // that are being written.
+  // Time and key of the rows that this host has, or is to have, in the leave
+  // table.
   std::set<std::pair<std::uint64_t, std::string>> stored_leaves_;
   // Delay after the last failed read of the leave table.
   state::Duration leave_table_retry_delay_{0};
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -37,6 +37,11 @@
 
 constexpr Duration kMaxTableRetryDelay = seconds(2);
 
+/// Delay per node within which all nodes check their rows after the store came
+/// back from an older copy: two reads a node, a quarter of the reads that the
+/// store serves.
+constexpr Duration kOwnRowsCheckInterval = milliseconds(4);
+
 /// Time after the start in which a node knows its peers from the table of nodes
 /// rather than by their links.
 constexpr Duration kLinkOpeningTime = milliseconds(500);
@@ -143,18 +148,64 @@
   if (era <= store_era_)
     return;
   // The first answer after the start tells nothing of an earlier era.
-  Log(store_era_ == 0 ? LogLevel::kInfo : LogLevel::kWarning,
-      "store_era_changed",
+  const std::uint64_t before = std::exchange(store_era_, era);
+  Log(before == 0 ? LogLevel::kInfo : LogLevel::kWarning, "store_era_changed",
       {{"era", std::to_string(era)},
-       {"before", std::to_string(store_era_)},
+       {"before", std::to_string(before)},
        {"routes", std::to_string(version())},
        {"watched_after", std::to_string(document_watch_.position().version)}});
-  store_era_ = era;
   // A watch from before may wait for a version of the lost history.
   if (document_watch_.OnEraSeen(era) && document_call_pending_) {
     ++document_call_number_;
     document_call_pending_ = false;
   }
+  if (before == 0)
+    return;
+  // The peers learn of the era before the next interval.
+  last_announcement_ = {};
+  const Duration span = kOwnRowsCheckInterval *
+                        static_cast<std::int64_t>(directory_.known_nodes() + 1);
+  std::uniform_int_distribution<std::int64_t> delay(0, span.count());
+  ScheduleOwnRowsCheck(Duration(delay(random_)));
+}
+
+// --- Rows that this node has written
+
+void RouteNode::Impl::ScheduleOwnRowsCheck(Duration pause) {
+  deadlines_.Cancel(own_rows_check_);
+  own_rows_check_ =
+      deadlines_.Schedule(Now() + pause, [this] { CheckOwnRows(); });
+}
+
+void RouteNode::Impl::CheckOwnRows() {
+  own_rows_check_ = 0;
+  if (!stored_leaves_.empty()) {
+    leaves_read_from_store_ = false;
+    ReadLeaveTable();
+  }
+  // The rows of other nodes that this one has removed may be back.
+  if (has_removed_node_rows_) {
+    ReadNodeTable();
+    return;
+  }
+  store_->Read(
+      interface_.node_table, settings_.name,
+      [this](const coordination::RowsReply& reply) { OnOwnNodeRow(reply); });
+}
+
+void RouteNode::Impl::OnOwnNodeRow(const coordination::RowsReply& reply) {
+  OnStoreEra(reply.era);
+  if (reply.status != coordination::StoreStatus::kDone) {
+    ScheduleOwnRowsCheck(kMaxTableRetryDelay);
+    return;
+  }
+  std::vector<std::string> replaced;
+  const bool has_own = AddNodes(reply, &replaced);
+  Log(LogLevel::kInfo, "own_row_checked",
+      {{"era", std::to_string(reply.era)},
+       {"stored", has_own ? "true" : "false"}});
+  if (!has_own)
+    WriteOwnNodeRow(replaced);
 }
 
 void RouteNode::Impl::OnDocumentRows(const coordination::RowsReply& reply) {
@@ -241,7 +292,7 @@
 void RouteNode::Impl::SendVersionNotice(state::NodeId node) {
   outbound_.SendControl(
       node, directory_.EndpointOf(node),
-      protocol::VersionNotice{directory_.self().node, version()});
+      protocol::VersionNotice{directory_.self().node, version(), store_era_});
 }
 
 void RouteNode::Impl::RepeatAnnouncement(Instant now) {
@@ -313,6 +364,7 @@
 
 void RouteNode::Impl::WriteOwnNodeRow(
     const std::vector<std::string>& replaced) {
+  has_removed_node_rows_ = has_removed_node_rows_ || !replaced.empty();
   // This node's row is written before the table is read again, so that of two
   // nodes that start at the same time at least one finds the other.
   const std::string frame = protocol::EncodeFrame(
@@ -326,7 +378,9 @@
 }
 
 void RouteNode::Impl::ScheduleNodeTableRead(Duration pause) {
-  deadlines_.Schedule(Now() + pause, [this] { ReadNodeTable(); });
+  deadlines_.Cancel(node_table_read_timer_);
+  node_table_read_timer_ =
+      deadlines_.Schedule(Now() + pause, [this] { ReadNodeTable(); });
 }
 
 Duration RouteNode::Impl::NodeTableInterval() const {
@@ -380,15 +434,33 @@
     return;
   }
   const std::size_t prefix = LeaveKeyPrefix().size();
+  std::set<std::string> found;
   for (const coordination::StoreRow& row : reply.rows) {
     const std::uint64_t left_ms = ParseLeaveTimeMs(row.value);
-    stored_leaves_.insert({left_ms, row.key});
+    found.insert(row.key);
+    if (!HasStoredLeave(row.key))
+      stored_leaves_.insert({left_ms, row.key});
     ProcessLeave(row.key.substr(prefix), left_ms);
   }
   leaves_read_from_store_ = true;
+  StoreMissingLeaves(found);
   ApplyUnconfirmedReport();
 }
 
+bool RouteNode::Impl::HasStoredLeave(const std::string& key) const {
+  return std::any_of(stored_leaves_.begin(), stored_leaves_.end(),
+                     [&key](const auto& leave) { return leave.second == key; });
+}
+
+void RouteNode::Impl::StoreMissingLeaves(const std::set<std::string>& found) {
+  std::vector<std::pair<std::uint64_t, std::string>> missing;
+  std::copy_if(
+      stored_leaves_.begin(), stored_leaves_.end(), std::back_inserter(missing),
+      [&found](const auto& leave) { return found.count(leave.second) == 0; });
+  for (const auto& [left_ms, key] : missing)
+    StoreLeave(key.substr(LeaveKeyPrefix().size()), left_ms);
+}
+
 void RouteNode::Impl::ProcessLeave(const std::string& instance,
                                    std::uint64_t left_ms) {
   if (registry_.ApplyInstanceLeave(instance, left_ms, Now()) ==
@@ -416,8 +488,16 @@
     recorded->second.durability.OnPeerCopy();
     AnswerLeave(left.instance);
   }
-  if (!left.instance.empty())
+  if (!left.instance.empty()) {
     ProcessLeave(left.instance, left.left_ms);
+    // The store may have forgotten a leave that an earlier process stored.
+    const std::string key = LeaveKeyPrefix() + left.instance;
+    if (!HasStoredLeave(key)) {
+      stored_leaves_.insert({left.left_ms, key});
+      if (leaves_read_from_store_)
+        StoreLeave(left.instance, left.left_ms);
+    }
+  }
   leave_received_from_peer_ = true;
   ApplyUnconfirmedReport();
 }
--- a/unittests/protocol/codec_test.cc
+++ b/unittests/protocol/codec_test.cc
@@ -69,7 +69,7 @@
 TEST(CodecTest, RoundTripsLeaveAndVersionNotices) {
   for (const PeerMessage& message :
        {PeerMessage(BackendLeft{1, "i-1", 3}), PeerMessage(BackendLeftPull{1}),
-        PeerMessage(VersionNotice{1, 7})}) {
+        PeerMessage(VersionNotice{1, 7, 3})}) {
     const auto decoded = DecodePayload(PayloadOf(EncodeFrame(message)));
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(*decoded, message);
