Use the entries beside an odd one, and keep odd addresses out of links

One nested or malformed row made a whole reply unreadable, so that the node stopped following that table; a leave time beyond the clock took the running server out of use; port 0 was accepted.

Records without a usable address, rows whose key and content disagree and leave times that have not come yet are left out and logged. Failed writes of the own row back off like failed reads.

--- a/include/sesamespread/coordination/row_store.h
+++ b/include/sesamespread/coordination/row_store.h
@@ -5,6 +5,7 @@
 #define SESAMESPREAD_COORDINATION_ROW_STORE_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -47,6 +48,8 @@
   /// The store no longer has the changes after the requested version, so the
   /// whole table must be read.
   bool is_history_lost = false;
+  /// Rows that could not be decoded; `detail` names the last one's error.
+  std::size_t left_out_rows = 0;
   std::string detail;
 
   auto operator<=>(const RowsReply&) const = default;
--- a/lib/transport/node_directory.cc
+++ b/lib/transport/node_directory.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "sesamespread/coordination/link_selection.h"
+#include "sesamespread/coordination/node_table.h"
 #include "sesamespread/state/settings.h"
 
 namespace sesamespread::transport {
@@ -28,6 +29,12 @@
 /// is selected in addition.
 constexpr unsigned kMaxAttemptsOfCandidate = 3;
 
+// Whether a link to the node can be opened.
+bool HasUsableAddress(const state::NodeRecord& record) {
+  return record.peer.port != 0 &&
+         coordination::ParseAddress(record.peer.address).has_value();
+}
+
 }  // namespace
 
 NodeDirectory::NodeDirectory(state::NodeRecord self,
@@ -48,7 +55,7 @@
 }
 
 void NodeDirectory::OnDirectRecord(const state::NodeRecord& record) {
-  if (record.node == self_.node)
+  if (record.node == self_.node || !HasUsableAddress(record))
     return;
   const auto found = nodes_.find(record.node);
   if (found != nodes_.end()) {
@@ -62,7 +69,8 @@
 }
 
 void NodeDirectory::OnIndirectRecord(const state::NodeRecord& record) {
-  if (record.node == self_.node || record.peer == self_.peer)
+  if (record.node == self_.node || record.peer == self_.peer ||
+      !HasUsableAddress(record))
     return;
   const auto found = nodes_.find(record.node);
   if (found != nodes_.end() &&
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -114,6 +114,11 @@
   void ReadNodeTable();
   void OnNodeRows(const coordination::RowsReply& reply);
   void ScheduleNodeTableRead(state::Duration pause);
+  // Reads the table again after a failed call, with backoff.
+  void RetryNodeTable(const std::string& detail);
+  // Logs rows of other writers that were left out of \p reply.
+  void LogLeftOutRows(const std::string& table,
+                      const coordination::RowsReply& reply);
   state::Duration NodeTableInterval() const;
   // Writes this node's row, removes the rows \p replaced and reads the table.
   void WriteOwnNodeRow(const std::vector<std::string>& replaced);
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -77,13 +77,27 @@
 /// long ago.
 constexpr std::size_t kMaxStoredLeaves = 8;
 
-// Returns the time in milliseconds in a row of the leave table, or 0 if the
-// value has another format; 0 matches no instance with a known start time.
-std::uint64_t ParseLeaveTimeMs(const std::string& value) {
+/// A leave later than this from now is not one of this host, whose clock may be
+/// set back by seconds.
+constexpr Duration kMaxClockStep = std::chrono::hours(1);
+
+// Returns the time in milliseconds in a row of the leave table; nullopt if the
+// value is not a time up to now.
+std::optional<std::uint64_t> ParseLeaveTimeMs(const std::string& value) {
   std::uint64_t millis = 0;
-  const auto result =
-      std::from_chars(value.data(), value.data() + value.size(), millis);
-  return result.ec == std::errc() ? millis : 0;
+  const char* const end = value.data() + value.size();
+  const auto result = std::from_chars(value.data(), end, millis);
+  if (result.ec != std::errc() || result.ptr != end ||
+      millis > state::WallMilliseconds(WallNow() + kMaxClockStep))
+    return std::nullopt;
+  return millis;
+}
+
+/// Longest text of another writer in a log line.
+constexpr std::size_t kMaxLoggedText = 64;
+
+std::string TruncatedText(const std::string& text) {
+  return text.substr(0, kMaxLoggedText);
 }
 
 }  // namespace
@@ -224,6 +238,7 @@
       ReadLeaveTable();
   }
   LogPositionChange(reply, watched_after);
+  LogLeftOutRows(interface_.document_table, reply);
   for (const coordination::StoreRow& row : reply.rows) {
     if (row.key == interface_.document_key && !row.is_removed)
       ApplyDocument(row.value, "store");
@@ -328,10 +343,19 @@
     const auto* push =
         message ? std::get_if<protocol::NodeRecordsPush>(&*message) : nullptr;
     if (!push) {
-      Log(LogLevel::kWarning, "node_row_malformed", {{"key", row.key}});
+      Log(LogLevel::kWarning, "node_row_malformed",
+          {{"key", TruncatedText(row.key)}});
       continue;
     }
     for (const state::NodeRecord& record : push->records) {
+      // Each node writes one row, under its name.
+      if (record.name != row.key ||
+          record.node != state::NodeIdOf(record.name)) {
+        Log(LogLevel::kWarning, "node_row_of_other_node",
+            {{"key", TruncatedText(row.key)},
+             {"name", TruncatedText(record.name)}});
+        continue;
+      }
       if (record.node == self.node)
         has_own = record.peer == self.peer && record.zone == self.zone;
       else if (record.peer == self.peer)
@@ -346,22 +370,39 @@
 void RouteNode::Impl::OnNodeRows(const coordination::RowsReply& reply) {
   OnStoreEra(reply.era);
   if (reply.status != coordination::StoreStatus::kDone) {
-    node_table_retry_delay_ = std::clamp(
-        node_table_retry_delay_ * 2, kMinTableRetryDelay, kMaxTableRetryDelay);
-    ScheduleNodeTableRead(node_table_retry_delay_);
+    RetryNodeTable(reply.detail);
     return;
   }
-  node_table_retry_delay_ = Duration(0);
+  LogLeftOutRows(interface_.node_table, reply);
   node_table_read_ = true;
   // Keys of rows of other nodes that had this node's address before.
   std::vector<std::string> replaced;
   if (AddNodes(reply, &replaced) && replaced.empty()) {
+    node_table_retry_delay_ = Duration(0);
     ScheduleNodeTableRead(NodeTableInterval());
     return;
   }
   WriteOwnNodeRow(replaced);
 }
 
+void RouteNode::Impl::RetryNodeTable(const std::string& detail) {
+  node_table_retry_delay_ = std::clamp(
+      node_table_retry_delay_ * 2, kMinTableRetryDelay, kMaxTableRetryDelay);
+  Log(LogLevel::kWarning, "node_table_failed",
+      {{"detail", detail},
+       {"retry_us", std::to_string(node_table_retry_delay_.count())}});
+  ScheduleNodeTableRead(node_table_retry_delay_);
+}
+
+void RouteNode::Impl::LogLeftOutRows(const std::string& table,
+                                     const coordination::RowsReply& reply) {
+  if (reply.left_out_rows > 0)
+    Log(LogLevel::kWarning, "store_rows_left_out",
+        {{"table", table},
+         {"rows", std::to_string(reply.left_out_rows)},
+         {"detail", TruncatedText(reply.detail)}});
+}
+
 void RouteNode::Impl::WriteOwnNodeRow(
     const std::vector<std::string>& replaced) {
   has_removed_node_rows_ = has_removed_node_rows_ || !replaced.empty();
@@ -373,7 +414,10 @@
                 frame.substr(protocol::kFrameHeaderBytes), replaced,
                 [this](const coordination::WriteReply& reply) {
                   OnStoreEra(reply.era);
-                  ReadNodeTable();
+                  if (reply.status == coordination::StoreStatus::kDone)
+                    ReadNodeTable();
+                  else
+                    RetryNodeTable(reply.detail);
                 });
 }
 
@@ -433,14 +477,20 @@
     });
     return;
   }
+  LogLeftOutRows(interface_.leave_table, reply);
   const std::size_t prefix = LeaveKeyPrefix().size();
   std::set<std::string> found;
   for (const coordination::StoreRow& row : reply.rows) {
-    const std::uint64_t left_ms = ParseLeaveTimeMs(row.value);
+    const auto left_ms = ParseLeaveTimeMs(row.value);
+    if (row.key.size() <= prefix || !left_ms) {
+      Log(LogLevel::kWarning, "leave_row_malformed",
+          {{"key", TruncatedText(row.key)}});
+      continue;
+    }
     found.insert(row.key);
     if (!HasStoredLeave(row.key))
-      stored_leaves_.insert({left_ms, row.key});
-    ProcessLeave(row.key.substr(prefix), left_ms);
+      stored_leaves_.insert({*left_ms, row.key});
+    ProcessLeave(row.key.substr(prefix), *left_ms);
   }
   leaves_read_from_store_ = true;
   StoreMissingLeaves(found);
