Stop sending a request that ends the servers that run it

Requests are the same if method, host, path and body are. The node beside a server that ends reports the contents of the calls that broke off to the other nodes, without those that the server has answered in the last minute. A suspect goes to one server, the same at all nodes, and runs alone among the suspects there; an answer clears it, and the second end blocks it for 30 s, a further one for 10 min, with 503 and the time that is left. A request whose attempt broke off counts as a suspect at its entry node before the report arrives. The table is bounded to 4,096 contents and passed to nodes that start.

The errors of this choice: a request that differs in a counter or a time is not recognized; a healthy one that runs at both ends is refused for 30 s.

--- a/fuzz/frame_fuzzer.cc
+++ b/fuzz/frame_fuzzer.cc
@@ -50,6 +50,8 @@
           PayloadOf(protocol::BackendLeft{1, "i-1", 3}),
           PayloadOf(protocol::BackendLeftPull{1}),
           PayloadOf(protocol::VersionNotice{1, 7, 3}),
+          PayloadOf(protocol::CrashReport{9, {1, 2}}),
+          PayloadOf(protocol::CrashSuspicions{{{7, 2, state::Duration(3)}}}),
           PayloadOf(protocol::ConfigurationPull{4}),
           PayloadOf(protocol::ConfigurationPush{delta, true}),
           PayloadOf(protocol::NodeRecordsPull{0}),
--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "sesamespread/coordination/crash_suspects.h"
 #include "sesamespread/coordination/gossip.h"
 #include "sesamespread/state/configuration.h"
 #include "sesamespread/state/ids.h"
@@ -68,6 +69,8 @@
   bool is_repeat = false;
   /// True if the sender tries another server if this one refuses the call.
   bool has_alternatives = false;
+  /// True if a backend server may have ended under the request before.
+  bool is_crash_suspect = false;
 
   auto operator<=>(const CallRequest&) const = default;
 };
@@ -224,6 +227,24 @@
   auto operator<=>(const VersionNotice&) const = default;
 };
 
+/// A backend server has ended under requests with `contents`; see
+/// coordination::CrashSuspects.
+struct CrashReport {
+  /// Random number of the end. 0: a server has answered such requests since, so
+  /// that they are no suspects.
+  std::uint64_t id = 0;
+  std::vector<coordination::RequestContent> contents;
+
+  auto operator<=>(const CrashReport&) const = default;
+};
+
+/// All suspicions of a node, sent to a node that starts.
+struct CrashSuspicions {
+  std::vector<coordination::CrashSuspicion> suspicions;
+
+  auto operator<=>(const CrashSuspicions&) const = default;
+};
+
 /// Any message that is sent in a TCP frame.
 using PeerMessage = std::variant<CallRequest,
                                  CallAnswer,
@@ -239,7 +260,9 @@
                                  NodeRecordsPush,
                                  BackendLeft,
                                  BackendLeftPull,
-                                 VersionNotice>;
+                                 VersionNotice,
+                                 CrashReport,
+                                 CrashSuspicions>;
 
 /// Messages in datagrams are defined by the gossip protocol, which is part of
 /// the coordination layer.
--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -8,13 +8,17 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "sesamespread/coordination/crash_suspects.h"
 #include "sesamespread/coordination/overload.h"
 #include "sesamespread/coordination/server_queue.h"
 #include "sesamespread/state/backend_report.h"
@@ -24,6 +28,7 @@
 #include "sesamespread/transport/field_names.h"
 #include "sesamespread/transport/http_client.h"
 #include "sesamespread/transport/metrics.h"
+#include "sesamespread/transport/random_seed.h"
 
 namespace sesamespread::transport {
 
@@ -96,6 +101,20 @@
 
   coordination::QueueLoad load() const;
 
+  /// Requests that are suspected to end backend servers, here or elsewhere.
+  coordination::CrashSuspects& crash_suspects() { return crash_suspects_; }
+
+  /// \p observer is called with a report of each end of the backend server, and
+  /// of each suspect that it has answered.
+  void SetCrashObserver(
+      std::function<void(const protocol::CrashReport&)> observer) {
+    crash_observer_ = std::move(observer);
+  }
+
+  /// The content of \p request.
+  static coordination::RequestContent ContentOf(
+      const protocol::CallRequest& request);
+
   /// \p observer is called for each answer in which the current backend server
   /// states that it leaves.
   void SetLeaveObserver(std::function<void()> observer) {
@@ -133,6 +152,15 @@
     // Instance of the backend server at the start.
     state::BackendInstance instance;
     std::uint32_t calls_made = 0;
+    // Set at the start.
+    coordination::RequestContent content = 0;
+  };
+
+  // A call whose connection ended before the answer.
+  struct BrokenCall {
+    coordination::RequestContent content = 0;
+    state::BackendInstance instance;
+    state::Instant at;
   };
 
   std::optional<state::ResultCode> CheckBackend(
@@ -146,6 +174,18 @@
   protocol::CallAnswer AnswerOfResponse(const Call& call, HttpOutcome& outcome);
   void ApplyRateLimit(std::string_view text, state::Instant sent);
   void OnUnreachable();
+  // Suspects run one at a time. \returns false if the call waits for another or
+  // is refused.
+  bool MayOfferSuspect(Handle handle, const Call& call);
+  // Offers the next suspect that waits, after \p handle has ended.
+  void OnSuspectEnded(Handle handle);
+  // Refuses the suspects that wait.
+  void RefuseWaitingSuspects(state::ResultCode code);
+  // Queues or starts a call.
+  void Offer(Handle handle);
+  // The backend server has ended, not as announced: reports the calls that
+  // broke off.
+  void ReportServerEnd(std::string_view reason);
   void Apply(const coordination::QueueActions& actions);
   void PostRefusal(Handle handle, state::ResultCode code);
   void Finish(Handle handle, protocol::CallAnswer answer);
@@ -171,6 +211,14 @@
   state::Instant last_answer_;
   std::unique_ptr<HttpClient> http_;
   coordination::ServerQueue queue_;
+  coordination::CrashSuspects crash_suspects_;
+  std::function<void(const protocol::CrashReport&)> crash_observer_;
+  std::mt19937_64 random_{RandomSeed()};
+  // The latest calls of the current instance that broke off, in order.
+  std::deque<BrokenCall> broken_calls_;
+  // The suspect that is queued or runs, and those that wait for its end.
+  std::optional<Handle> current_suspect_;
+  std::deque<Handle> waiting_suspects_;
   std::function<void()> leave_observer_;
   std::uint64_t sent_requests_ = 0;
   coordination::OverloadThreshold overload_;
--- a/include/sesamespread/transport/entry_request_handler.h
+++ b/include/sesamespread/transport/entry_request_handler.h
@@ -206,12 +206,23 @@
   // The next server; nullopt if there is none. Starts the last pass if needed.
   std::optional<state::NodeId> ChooseServer(Request& request,
                                             state::Instant now);
+  // Refuses the request if it is suspected to end servers. \returns whether it
+  // was refused; otherwise marks it if it is suspected.
+  bool RefuseCrashSuspect(Key key, state::Instant now);
+  void FailCrashSuspect(Key key);
+  // The server for a request that may have ended another one.
+  std::optional<state::NodeId> ChooseServerOfSuspect(const Request& request,
+                                                     state::Instant now) const;
   bool HasTimeForRetry(const Request& request, state::Instant now) const;
   bool AcquireRetry(const Request& request, state::Instant now);
   void OnDeadline(Key key);
   void OnAbandoned(Key key);
   void CancelAttempts(Request& request);
   void Fail(Key key, const Failure& failure);
+  // When the caller of a request that has not run may send it again.
+  state::Duration RetryAfterOf(const Request& request,
+                               state::ResultCode code,
+                               state::Instant now);
   void Respond(Key key, const protocol::CallAnswer& answer);
   void RespondFailure(const std::shared_ptr<HttpExchange>& exchange,
                       const Failure& failure,
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -6,6 +6,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "peer_generated.h"
@@ -146,7 +147,8 @@
               message.caller_identity, route, message.priority,
               static_cast<std::uint64_t>(message.goal_remaining.count()),
               static_cast<std::uint64_t>(message.max_wait.count()),
-              message.from_backend, message.is_repeat, message.has_alternatives)
+              message.from_backend, message.is_repeat, message.has_alternatives,
+              message.is_crash_suspect)
               .Union()};
 }
 
@@ -220,6 +222,23 @@
           wire::CreateBackendLeftPull(builder, message.node).Union()};
 }
 
+Body Encode(FlatBufferBuilder& builder, const CrashReport& message) {
+  const auto contents = builder.CreateVector(message.contents);
+  return {wire::PeerBody::CrashReport,
+          wire::CreateCrashReport(builder, message.id, contents).Union()};
+}
+
+Body Encode(FlatBufferBuilder& builder, const CrashSuspicions& message) {
+  std::vector<wire::CrashSuspicion> suspicions;
+  suspicions.reserve(message.suspicions.size());
+  for (const coordination::CrashSuspicion& suspicion : message.suspicions)
+    suspicions.emplace_back(suspicion.content, suspicion.ends,
+                            static_cast<std::uint64_t>(suspicion.age.count()));
+  const auto vector = builder.CreateVectorOfStructs(suspicions);
+  return {wire::PeerBody::CrashSuspicions,
+          wire::CreateCrashSuspicions(builder, vector).Union()};
+}
+
 Body Encode(FlatBufferBuilder& builder, const VersionNotice& message) {
   return {wire::PeerBody::VersionNotice,
           wire::CreateVersionNotice(builder, message.node, message.version,
@@ -307,6 +326,7 @@
   message.from_backend = body.from_backend();
   message.is_repeat = body.is_repeat();
   message.has_alternatives = body.has_alternatives();
+  message.is_crash_suspect = body.is_crash_suspect();
   return message;
 }
 
@@ -367,6 +387,30 @@
   return message;
 }
 
+CrashReport DecodeCrashReport(const wire::CrashReport& body) {
+  CrashReport message;
+  message.id = body.id();
+  if (const auto* contents = body.contents())
+    message.contents.assign(contents->begin(), contents->end());
+  return message;
+}
+
+CrashSuspicions DecodeCrashSuspicions(const wire::CrashSuspicions& body) {
+  // Older suspicions have expired; the bounds keep the numbers in their ranges.
+  constexpr std::uint64_t kMaxAgeUs = 3'600'000'000;
+  constexpr std::uint64_t kMaxEnds = 1'000;
+  CrashSuspicions message;
+  if (const auto* suspicions = body.suspicions()) {
+    for (const wire::CrashSuspicion* suspicion : *suspicions)
+      message.suspicions.push_back(
+          {suspicion->content(),
+           static_cast<std::uint32_t>(std::min(suspicion->ends(), kMaxEnds)),
+           state::Duration(static_cast<std::int64_t>(
+               std::min(suspicion->age_us(), kMaxAgeUs)))});
+  }
+  return message;
+}
+
 Decoded DecodeNodeRecordsPush(const wire::NodeRecordsPush& body) {
   NodeRecordsPush message;
   if (!Decode(body.records(), &message.records))
@@ -384,6 +428,10 @@
       const auto* body = message.body_as_VersionNotice();
       return VersionNotice{body->node(), body->version(), body->store_era()};
     }
+    case wire::PeerBody::CrashReport:
+      return DecodeCrashReport(*message.body_as_CrashReport());
+    case wire::PeerBody::CrashSuspicions:
+      return DecodeCrashSuspicions(*message.body_as_CrashSuspicions());
     case wire::PeerBody::BackendLeft: {
       const auto* body = message.body_as_BackendLeft();
       return BackendLeft{body->node(), ToString(body->instance()),
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -55,6 +55,19 @@
 
 constexpr std::size_t kMaxConnections = 4096;
 
+/// Calls that broke off that are kept, more than the slots of most servers.
+constexpr std::size_t kMaxBrokenCalls = 1024;
+
+/// All calls break off within this long of each other when a server ends.
+constexpr Duration kServerEndSpan = std::chrono::milliseconds(250);
+
+/// An end that is noticed this long after the last call broke off has another
+/// cause.
+constexpr Duration kMaxBrokenCallAge = std::chrono::seconds(5);
+
+/// Suspects that wait for their turn at most; further ones are refused.
+constexpr std::size_t kMaxWaitingSuspects = 256;
+
 /// Weight of one run in the average number of calls of a route's runs.
 constexpr double kCallsOfRunGain = 0.1;
 
@@ -107,6 +120,10 @@
                              backend->identity.IsSameRun(backend_->identity) &&
                              backend->service == backend_->service;
   const bool is_first = !backend_;
+  const bool is_restarted =
+      backend && backend_ && !same_instance && !backend_->leaving;
+  if (is_restarted)
+    ReportServerEnd("another instance has started");
   backend_ = std::move(backend);
   queue_.SetSlots(backend_ ? backend_->slots : 0);
   if (same_instance)
@@ -116,6 +133,8 @@
     queue_.rate_limit().Reset();
   unreachable_at_.reset();
   new_work_stopped_at_.reset();
+  broken_calls_.clear();
+  RefuseWaitingSuspects(ResultCode::kNoBackendServer);
   for (const auto& refusal : queue_.RefuseAll(ResultCode::kNoBackendServer))
     PostRefusal(refusal.ticket, refusal.code);
 }
@@ -132,6 +151,7 @@
   deadlines_.Schedule(queue_drain_end_, [this, alive = alive_] {
     if (!*alive || !new_work_stopped_at_ || Now() < queue_drain_end_)
       return;
+    RefuseWaitingSuspects(ResultCode::kLeaving);
     for (const auto& refusal : queue_.RefuseAll(ResultCode::kLeaving))
       PostRefusal(refusal.ticket, refusal.code);
   });
@@ -197,7 +217,66 @@
     PostRefusal(handle, *refusal);
     return handle;
   }
-  const auto decision = queue_.Offer(MakeQueuedCall(handle, call), now);
+  call.content = ContentOf(call.request);
+  if (MayOfferSuspect(handle, call))
+    Offer(handle);
+  return handle;
+}
+
+coordination::RequestContent BackendExecutor::ContentOf(
+    const protocol::CallRequest& request) {
+  return coordination::ContentOf(request.method,
+                                 FieldOf(request.headers, "Host"), request.path,
+                                 request.body);
+}
+
+bool BackendExecutor::MayOfferSuspect(Handle handle, const Call& call) {
+  using coordination::CrashVerdict;
+  const auto verdict = crash_suspects_.empty()
+                           ? CrashVerdict::kNone
+                           : crash_suspects_.Judge(call.content, Now());
+  if (verdict == CrashVerdict::kBlocked) {
+    PostRefusal(handle, ResultCode::kCrashSuspect);
+    return false;
+  }
+  if (verdict == CrashVerdict::kNone && !call.request.is_crash_suspect)
+    return true;
+  if (!current_suspect_) {
+    current_suspect_ = handle;
+    return true;
+  }
+  if (waiting_suspects_.size() >= kMaxWaitingSuspects)
+    PostRefusal(handle, ResultCode::kQueueFull);
+  else
+    waiting_suspects_.push_back(handle);
+  return false;
+}
+
+void BackendExecutor::OnSuspectEnded(Handle handle) {
+  if (current_suspect_ != handle)
+    return;
+  current_suspect_.reset();
+  while (!current_suspect_ && !waiting_suspects_.empty()) {
+    const Handle next = waiting_suspects_.front();
+    waiting_suspects_.pop_front();
+    const auto found = calls_.find(next);
+    if (found == calls_.end())
+      continue;
+    if (const auto refusal = CheckBackend(found->second.request))
+      PostRefusal(next, *refusal);
+    else if (MayOfferSuspect(next, found->second))
+      Offer(next);
+  }
+}
+
+void BackendExecutor::RefuseWaitingSuspects(ResultCode code) {
+  for (const Handle handle : std::exchange(waiting_suspects_, {}))
+    PostRefusal(handle, code);
+}
+
+void BackendExecutor::Offer(Handle handle) {
+  const auto decision =
+      queue_.Offer(MakeQueuedCall(handle, calls_.at(handle)), Now());
   switch (decision.outcome) {
     case QueueOutcome::kStart:
       Start(handle);
@@ -209,7 +288,37 @@
       PostRefusal(handle, decision.code);
       break;
   }
-  return handle;
+}
+
+void BackendExecutor::ReportServerEnd(std::string_view reason) {
+  const Instant now = Now();
+  std::vector<coordination::RequestContent> running;
+  if (!broken_calls_.empty() &&
+      now - broken_calls_.back().at < kMaxBrokenCallAge) {
+    const Instant ended_at = broken_calls_.back().at;
+    for (const BrokenCall& call : broken_calls_) {
+      if (ended_at - call.at < kServerEndSpan)
+        running.push_back(call.content);
+    }
+  }
+  broken_calls_.clear();
+  const auto suspects = crash_suspects_.SuspectsOfEnd(running, now);
+  if (suspects.empty())
+    return;
+  const protocol::CrashReport report{random_() | 1, suspects};
+  crash_suspects_.OnServerEnd(report.id, report.contents, now);
+  const auto blocked = std::count_if(
+      suspects.begin(), suspects.end(), [this, now](const auto content) {
+        return crash_suspects_.BlockedFor(content, now) > Duration(0);
+      });
+  log_.Write(ThreadRole::kData, LogLevel::kWarning, "server_ended",
+             {{"instance", backend_ ? backend_->identity.instance : ""},
+              {"reason", std::string(reason)},
+              {"broken_calls", std::to_string(running.size())},
+              {"suspects", std::to_string(suspects.size())},
+              {"blocked", std::to_string(blocked)}});
+  if (crash_observer_)
+    crash_observer_(report);
 }
 
 void BackendExecutor::Cancel(Handle handle) {
@@ -220,7 +329,9 @@
   call.done = nullptr;
   if (!call.is_running) {
     queue_.Cancel(handle);
+    std::erase(waiting_suspects_, handle);
     calls_.erase(found);
+    OnSuspectEnded(handle);
     return;
   }
   // A call that is not idempotent continues: its effect may be wanted although
@@ -277,6 +388,9 @@
   }
   const bool answered = outcome.kind == HttpOutcomeKind::kAnswered &&
                         answer.run_state == RunState::kRan;
+  if (answered && crash_suspects_.OnAnswered(call.content, Now()) &&
+      crash_observer_)
+    crash_observer_({0, {call.content}});
   const auto actions =
       queue_.Finish(call.request.route, answer.service_time, answered, Now());
   Finish(handle, std::move(answer));
@@ -306,6 +420,11 @@
                  : failed(ResultCode::kDeadlineBeforeStart, RunState::kNotRun,
                           "the deadline passed before a connection opened");
     case HttpOutcomeKind::kTruncated:
+      if (backend_ && backend_->identity.IsSameRun(call.instance)) {
+        broken_calls_.push_back({call.content, call.instance, Now()});
+        if (broken_calls_.size() > kMaxBrokenCalls)
+          broken_calls_.pop_front();
+      }
       return failed(ResultCode::kTruncatedAnswer, RunState::kUnknown,
                     outcome.reused_connection
                         ? "a reused connection ended before the whole answer"
@@ -422,8 +541,11 @@
     log_.Write(ThreadRole::kData, LogLevel::kWarning, "backend_unreachable",
                {{"endpoint", state::ToString(backend_->endpoint)},
                 {"instance", backend_->identity.instance}});
+    if (!new_work_stopped_at_)
+      ReportServerEnd("it refuses connections");
   }
   unreachable_at_ = Now();
+  RefuseWaitingSuspects(ResultCode::kConnectFailed);
   for (const auto& refusal : queue_.RefuseAll(ResultCode::kConnectFailed))
     PostRefusal(refusal.ticket, refusal.code);
 }
@@ -517,6 +639,7 @@
     LogCall(level, "call_executed", call, answer);
   if (call.done)
     call.done(std::move(answer));
+  OnSuspectEnded(handle);
 }
 
 void BackendExecutor::LogCall(LogLevel level,
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -59,6 +59,9 @@
 /// Retry-After while this node has no routes.
 constexpr Duration kNoConfigurationRetryAfter = std::chrono::milliseconds(300);
 
+/// Least Retry-After of a request that is suspected to end servers.
+constexpr Duration kMinCrashSuspectRetryAfter = std::chrono::seconds(1);
+
 /// How long after the deadline an answer is still accepted. A backend server
 /// ends an overdue request with an answer of its own, which arrives after the
 /// deadline.
@@ -289,6 +292,8 @@
                RunStateOf(request), "no server took the request in time"});
     return;
   }
+  if (RefuseCrashSuspect(key, now))
+    return;
   const auto node = ChooseServer(request, now);
   if (!node) {
     const bool any =
@@ -302,6 +307,54 @@
   ScheduleHedge(key);
 }
 
+bool EntryRequestHandler::RefuseCrashSuspect(Key key, Instant now) {
+  using coordination::CrashVerdict;
+  Request& request = requests_.at(key);
+  coordination::CrashSuspects& suspects = backend_executor_.crash_suspects();
+  if (suspects.empty())
+    return false;
+  const auto content = BackendExecutor::ContentOf(request.call);
+  const CrashVerdict verdict = suspects.Judge(content, now);
+  request.call.is_crash_suspect |= verdict == CrashVerdict::kSuspect;
+  if (verdict != CrashVerdict::kBlocked)
+    return false;
+  FailCrashSuspect(key);
+  return true;
+}
+
+void EntryRequestHandler::FailCrashSuspect(Key key) {
+  const Request& request = requests_.at(key);
+  if (log_.ShouldLog(ThreadRole::kData, LogLevel::kWarning,
+                     "crash_suspect_refused"))
+    log_.Write(
+        ThreadRole::kData, LogLevel::kWarning, "crash_suspect_refused",
+        {{"request", request.id},
+         {"route", request.route->name},
+         {"path", request.call.path},
+         {"content", state::ToHex(BackendExecutor::ContentOf(request.call))}});
+  Fail(key,
+       {ResultCode::kCrashSuspect, RunStateOf(request),
+        "backend servers ended while they ran requests with this content"});
+}
+
+std::optional<NodeId> EntryRequestHandler::ChooseServerOfSuspect(
+    const Request& request,
+    Instant now) const {
+  std::vector<NodeId> servers;
+  for (const coordination::ServerView& server :
+       router_.View(request.call.service, now)) {
+    const bool is_tried = std::find(request.tried.begin(), request.tried.end(),
+                                    server.node) != request.tried.end();
+    if (server.backend_state == state::BackendState::kServing && !is_tried &&
+        !server.unreachable)
+      servers.push_back(server.node);
+  }
+  if (servers.empty())
+    return std::nullopt;
+  return coordination::ServerOfSuspect(BackendExecutor::ContentOf(request.call),
+                                       servers);
+}
+
 RunState EntryRequestHandler::RunStateOf(const Request& request) {
   return request.runs > 0 ? RunState::kUnknown : RunState::kNotRun;
 }
@@ -327,6 +380,10 @@
                                                         Instant now) {
   if (MayTryAnotherServer(request, 0)) {
     const std::string& service = request.call.service;
+    if (request.call.is_crash_suspect) {
+      if (const auto node = ChooseServerOfSuspect(request, now))
+        return node;
+    }
     auto choice =
         router_.Choose(service, now, random_, ExcludedServers(request, now));
     if (!choice && !request.is_last_pass) {
@@ -386,7 +443,8 @@
   if (found == requests_.end())
     return;
   Request& request = found->second;
-  if (!request.route->idempotent || request.outstanding.empty())
+  if (!request.route->idempotent || request.outstanding.empty() ||
+      request.call.is_crash_suspect)
     return;
   const auto hedge_delay = answer_times_.LossTimeout(request.route->name);
   if (!hedge_delay)
@@ -405,8 +463,8 @@
   request.hedge_timer_id = 0;
   const Instant now = Now();
   // The first server may have received the request, so it counts as an attempt.
-  if (request.outstanding.size() != 1 || !MayTryAnotherServer(request, 1) ||
-      request.placements >= kMaxPlacements)
+  if (request.outstanding.size() != 1 || request.call.is_crash_suspect ||
+      !MayTryAnotherServer(request, 1) || request.placements >= kMaxPlacements)
     return;
   std::vector<NodeId> excluded = request.tried;
   const std::vector<NodeId> long_wait_nodes =
@@ -510,6 +568,10 @@
     Respond(key, answer);
     return;
   }
+  if (answer.result == ResultCode::kCrashSuspect) {
+    FailCrashSuspect(key);
+    return;
+  }
   if (answer.result != ResultCode::kOk && !MayRetry(request, answer)) {
     Fail(key, {answer.result, RunStateOf(request), answer.detail});
     return;
@@ -529,6 +591,9 @@
          {"expected_wait_us", std::to_string(answer.expected_wait.count())}});
   }
   request.call.is_repeat |= HasReachedServer(answer);
+  // Known here before the report of the end arrives.
+  request.call.is_crash_suspect |=
+      answer.result == ResultCode::kTruncatedAnswer;
   SendToNextServer(key);
 }
 
@@ -623,18 +688,28 @@
   // Another node takes the requests that a stopping one refuses, so that they
   // say nothing about the load of the route.
   if (not_run && !request.call.from_backend &&
-      failure.code != ResultCode::kLeaving)
+      failure.code != ResultCode::kLeaving &&
+      failure.code != ResultCode::kCrashSuspect)
     retry_after_.Observe(request.route->name, true, now);
-  RespondFailure(request.exchange, failure,
-                 not_run
-                     ? retry_after_.Estimate(request.route->name,
-                                             request.route->goal, now, random_)
-                     : Duration(0));
+  RespondFailure(
+      request.exchange, failure,
+      not_run ? RetryAfterOf(request, failure.code, now) : Duration(0));
   Finish(key, not_run ? "request_refused" : "request_failed", failure.code,
          not_run ? 503 : state::InfoOf(failure.code).http_status,
          failure.log_detail.empty() ? failure.detail : failure.log_detail);
 }
 
+Duration EntryRequestHandler::RetryAfterOf(const Request& request,
+                                           ResultCode code,
+                                           Instant now) {
+  if (code == ResultCode::kCrashSuspect)
+    return std::max(backend_executor_.crash_suspects().BlockedFor(
+                        BackendExecutor::ContentOf(request.call), now),
+                    kMinCrashSuspectRetryAfter);
+  return retry_after_.Estimate(request.route->name, request.route->goal, now,
+                               random_);
+}
+
 void EntryRequestHandler::RespondFailure(
     const std::shared_ptr<HttpExchange>& exchange,
     const Failure& failure,
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -186,6 +186,8 @@
         directory_.OnLinkChange(node, is_open, reason);
       });
   backend_executor_.SetLeaveObserver([this] { OnStatedLeave(); });
+  backend_executor_.SetCrashObserver(
+      [this](const protocol::CrashReport& r) { BroadcastCrashReport(r); });
   entry_.SetVersionObserver([this](state::NodeId node, std::uint64_t version) {
     OnPeerRoutesVersion(node, version);
   });
@@ -303,12 +305,14 @@
       protocol::NodeRecordsPush{{directory_.self()}, 1, 1}};
   // The peer may have older routes or none.
   if (routes_)
-    messages.emplace_back(
-        protocol::VersionNotice{directory_.self().node, version(), store_era_});
+    messages.emplace_back(MakeVersionNotice());
   if (!node_table_read_ && record_pulls_sent_ < kMaxRecordPulls) {
     ++record_pulls_sent_;
     messages.emplace_back(protocol::NodeRecordsPull{0});
   }
+  const auto suspicions = backend_executor_.crash_suspects().Snapshot(Now());
+  if (!suspicions.empty())
+    messages.emplace_back(protocol::CrashSuspicions{suspicions});
   // A peer that has restarted itself knows of no leave, so that more than one
   // is asked, and all of them while the store does not answer.
   if (!leaves_read_from_store_ || leave_pulls_sent_ < kMaxLeavePulls) {
@@ -351,6 +355,14 @@
     OnBackendLeft(*left, reply);
     return;
   }
+  if (const auto* report = std::get_if<protocol::CrashReport>(&message)) {
+    OnCrashReport(*report);
+    return;
+  }
+  if (const auto* all = std::get_if<protocol::CrashSuspicions>(&message)) {
+    backend_executor_.crash_suspects().Merge(all->suspicions, Now());
+    return;
+  }
   if (std::holds_alternative<protocol::NodeRecordsPull>(message)) {
     const auto records = directory_.Records();
     const auto total = static_cast<std::uint32_t>(records.size());
@@ -376,6 +388,24 @@
   }
 }
 
+void RouteNode::Impl::BroadcastCrashReport(
+    const protocol::CrashReport& report) {
+  inbound_.Broadcast(report);
+  outbound_.Broadcast(report);
+}
+
+void RouteNode::Impl::OnCrashReport(const protocol::CrashReport& report) {
+  coordination::CrashSuspects& suspects = backend_executor_.crash_suspects();
+  if (report.id == 0) {
+    suspects.Clear(report.contents);
+    return;
+  }
+  if (!suspects.OnServerEnd(report.id, report.contents, Now()))
+    return;
+  // The sender has links to some of the nodes only.
+  ForwardToSomePeers(report);
+}
+
 void RouteNode::Impl::OnPeerRoutesVersion(state::NodeId node,
                                           std::uint64_t seen) {
   if (seen <= version())
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -104,9 +104,13 @@
   void ApplyDocument(const std::string& document, std::string_view source);
   // Notifies some random peers of the version in force.
   void AnnounceVersion();
+  // Sends \p message to enough random peers that all nodes receive it if each
+  // receiver does the same.
+  void ForwardToSomePeers(const protocol::PeerMessage& message);
   // As a reader of the store, notifies the nodes of the zone from time to time;
   // called by each tick.
   void RepeatAnnouncement(state::Instant now);
+  protocol::VersionNotice MakeVersionNotice() const;
   void SendVersionNotice(state::NodeId node);
   std::uint64_t version() const { return routes_ ? routes_->version : 0; }
 
@@ -161,6 +165,10 @@
   // Applies unconfirmed_report_ once the leave state is known.
   void ApplyUnconfirmedReport();
 
+  // Requests that end backend servers.
+  void BroadcastCrashReport(const protocol::CrashReport& report);
+  void OnCrashReport(const protocol::CrashReport& report);
+
   // The backend server.
   void ApplyBackendChange();
   // Returns how long a leaving backend server still gets queued calls.
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -83,7 +83,8 @@
       static_cast<double>(directory_.available_servers());
   gauges.store_age_seconds = age(last_store_answer_);
   gauges.store_era = static_cast<double>(store_era_);
-  gauges.store_version = static_cast<double>(document_watch_.position().version);
+  gauges.store_version =
+      static_cast<double>(document_watch_.position().version);
   gauges.report_age_seconds =
       age(std::max(registry_.reported_at(), started_at_));
   gauges.log_lines_lost = static_cast<double>(log_.lost_line_count());
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -289,6 +289,10 @@
 }
 
 void RouteNode::Impl::AnnounceVersion() {
+  ForwardToSomePeers(MakeVersionNotice());
+}
+
+void RouteNode::Impl::ForwardToSomePeers(const protocol::PeerMessage& message) {
   // Mostly in this availability zone: traffic between zones is charged for, and
   // each zone has readers of its own.
   std::vector<state::NodeId> zone_peers =
@@ -301,13 +305,15 @@
        directory_.SampleLinkedNodes(kAnnouncementsToAllZones, random_))
     receivers.push_back(node);
   for (const state::NodeId node : receivers)
-    SendVersionNotice(node);
+    outbound_.SendControl(node, directory_.EndpointOf(node), message);
+}
+
+protocol::VersionNotice RouteNode::Impl::MakeVersionNotice() const {
+  return {directory_.self().node, version(), store_era_};
 }
 
 void RouteNode::Impl::SendVersionNotice(state::NodeId node) {
-  outbound_.SendControl(
-      node, directory_.EndpointOf(node),
-      protocol::VersionNotice{directory_.self().node, version(), store_era_});
+  outbound_.SendControl(node, directory_.EndpointOf(node), MakeVersionNotice());
 }
 
 void RouteNode::Impl::RepeatAnnouncement(Instant now) {
--- a/test/route_node/deployment.cc
+++ b/test/route_node/deployment.cc
@@ -169,10 +169,11 @@
 bench::HttpResult RouteDeployment::Send(const RouteHost& entry,
                                         const std::string& host,
                                         const std::string& id,
-                                        std::chrono::milliseconds budget) {
+                                        std::chrono::milliseconds budget,
+                                        const std::string& path) {
   transport::HttpRequest request;
   request.method = host == "orders.example" ? "POST" : "GET";
-  request.target = "/item";
+  request.target = path;
   request.headers = {{"Host", host},
                      {"X-Attempt-Id", id},
                      {"X-Deadline-Ms", std::to_string(budget.count())}};
--- a/test/route_node/deployment.h
+++ b/test/route_node/deployment.h
@@ -95,7 +95,8 @@
   bench::HttpResult Send(const RouteHost& entry,
                          const std::string& host,
                          const std::string& id,
-                         std::chrono::milliseconds budget = kTestTimeout);
+                         std::chrono::milliseconds budget = kTestTimeout,
+                         const std::string& path = "/item");
   /// Sends a request to the node of the first host on a new thread.
   std::future<bench::HttpResult> SendAsync(const std::string& host,
                                            const std::string& id);
--- a/unittests/protocol/codec_test.cc
+++ b/unittests/protocol/codec_test.cc
@@ -66,6 +66,18 @@
       gossip);
 }
 
+TEST(CodecTest, RoundTripsCrashReports) {
+  for (const PeerMessage& message :
+       {PeerMessage(CrashReport{9, {1, ~0ULL}}), PeerMessage(CrashReport{}),
+        PeerMessage(CrashSuspicions{
+            {{7, 2, std::chrono::seconds(3)}, {8, 1, state::Duration(0)}}}),
+        PeerMessage(CrashSuspicions{})}) {
+    const auto decoded = DecodePayload(PayloadOf(EncodeFrame(message)));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(*decoded, message);
+  }
+}
+
 TEST(CodecTest, RoundTripsLeaveAndVersionNotices) {
   for (const PeerMessage& message :
        {PeerMessage(BackendLeft{1, "i-1", 3}), PeerMessage(BackendLeftPull{1}),
