--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -30,7 +30,7 @@
 inventory_fuzzer 2000 4096 examples/colmenar.yaml examples/lembaga.yaml
 node_settings_fuzzer 4000 2048 examples/node.yaml
 platform_rows_fuzzer 10000 2048
-operator_document_fuzzer 20000 2048
-backend_call_fuzzer 40000 512
-store_rows_fuzzer 40000 512
+operator_document_fuzzer 20000 2048 fuzz/seeds/odd-document
+backend_call_fuzzer 40000 512 fuzz/seeds/odd-report
+store_rows_fuzzer 40000 512 fuzz/seeds/odd-row
 LIST
--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -159,7 +159,6 @@
   // A call whose connection ended before the answer.
   struct BrokenCall {
     coordination::RequestContent content = 0;
-    state::BackendInstance instance;
     state::Instant at;
   };
 
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -421,7 +421,7 @@
                           "the deadline passed before a connection opened");
     case HttpOutcomeKind::kTruncated:
       if (backend_ && backend_->identity.IsSameRun(call.instance)) {
-        broken_calls_.push_back({call.content, call.instance, Now()});
+        broken_calls_.push_back({call.content, Now()});
         if (broken_calls_.size() > kMaxBrokenCalls)
           broken_calls_.pop_front();
       }
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -77,8 +77,8 @@
 /// long ago.
 constexpr std::size_t kMaxStoredLeaves = 8;
 
-/// A leave later than this from now is not one of this host, whose clock may be
-/// set back by seconds.
+/// The clock of this host may have been ahead by seconds when a leave was
+/// recorded; a leave that is later than this from now is not one of this host.
 constexpr Duration kMaxClockStep = std::chrono::hours(1);
 
 // Returns the time in milliseconds in a row of the leave table; nullopt if the
