--- a/test/soak/route_soak.cc
+++ b/test/soak/route_soak.cc
@@ -91,6 +91,8 @@
   // Injected only with has_byte_faults and has_server_statements.
   static const NamedFault kByteFaults[];
   static const NamedFault kStatementFaults[];
+  // Injected only with has_store_restores.
+  static const NamedFault kRestoreFaults[];
 
   // Faults. A fault has no effect if the state of the host does not allow it.
   void KillNode();
@@ -113,6 +115,7 @@
   void CorruptLinks();
   void LimitBackend();
   void StateLeave();
+  void RestoreStore();
 
   void Inject();
   // Runs the scheduled actions and the checks until \p end.
@@ -214,6 +217,10 @@
     {"state the leave of a backend", &RouteSoak::StateLeave},
 };
 
+const RouteSoak::NamedFault RouteSoak::kRestoreFaults[] = {
+    {"restore store", &RouteSoak::RestoreStore},
+};
+
 RouteSoak::RouteSoak(const SoakOptions& options)
     : options_(options),
       random_(options.seed),
@@ -221,6 +228,9 @@
   for (RouteHost& host : deployment_.hosts())
     host.backend->SetServiceTime(kServiceTime);
   states_.resize(deployment_.hosts().size());
+  if (options.has_store_restores)
+    faults_.insert(faults_.end(), std::begin(kRestoreFaults),
+                   std::end(kRestoreFaults));
   if (options.has_byte_faults)
     faults_.insert(faults_.end(), std::begin(kByteFaults),
                    std::end(kByteFaults));
@@ -325,6 +335,16 @@
            [this] { deployment_.store().SetMode(Store::Mode::kServing); });
 }
 
+void RouteSoak::RestoreStore() {
+  deployment_.store().SaveCopy();
+  Schedule(RandomFaultDuration(), [this] {
+    deployment_.store().Restore();
+    // The operator repeats its document a moment later.
+    Schedule(RandomFaultDuration(),
+             [this] { deployment_.PutRoutes(version_); });
+  });
+}
+
 void RouteSoak::ResetBackendConnections() {
   HostAt(RandomHost()).backend_proxy->ResetConnections();
 }
--- a/test/soak/route_soak.h
+++ b/test/soak/route_soak.h
@@ -27,6 +27,8 @@
   /// Adds backend servers that state a rate limit or their leave in answers;
   /// for the same reason not part of the other soaks.
   bool has_server_statements = false;
+  /// Adds a store that comes back from an older copy; likewise.
+  bool has_store_restores = false;
   /// Directory for the faults, their times and the logs of the nodes, which are
   /// written after a violation; nothing is written if it is empty.
   std::string log_directory = {};
--- a/test/soak/soak_main.cc
+++ b/test/soak/soak_main.cc
@@ -18,6 +18,7 @@
       cxxopts::value<std::uint64_t>()->default_value("1"))(
       "bytes", "Add late copies of answers, breaks and bytes without end")(
       "statements", "Add rate limits and leaves that backend servers state")(
+      "restores", "Add a store that comes back from an older copy")(
       "seconds", "Time with faults for each seed",
       cxxopts::value<int>()->default_value("10"))(
       "logs", "Directory for the logs of failed seeds",
@@ -38,6 +39,7 @@
       soak.duration = std::chrono::seconds(arguments["seconds"].as<int>());
       soak.has_byte_faults = arguments.count("bytes") > 0;
       soak.has_server_statements = arguments.count("statements") > 0;
+      soak.has_store_restores = arguments.count("restores") > 0;
       soak.log_directory = arguments["logs"].as<std::string>();
       const auto report = sesamespread::test::RunRouteSoak(soak);
       fmt::print(
--- a/test/soak/soak_test.cc
+++ b/test/soak/soak_test.cc
@@ -71,6 +71,15 @@
   ExpectDeliveryGuarantees(options);
 }
 
+// Guards against routes that are not seen or go back, and leaves that are
+// forgotten, because the store has lost its last writes.
+TEST(RouteSoakRestoresTest, KeepsDeliveryGuarantees) {
+  SoakOptions options;
+  options.seed = 27;
+  options.has_store_restores = true;
+  ExpectDeliveryGuarantees(options);
+}
+
 constexpr SoakSeed kStatementSeeds[] = {
     {24, "no known fault"},
     {2723, "a leave was read late after a restart while the store failed"},
