--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -9,6 +9,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -671,6 +672,8 @@
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
+    // The node ends with the case, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (chdir(root_.c_str()) != 0)
       _exit(127);
     // The command of deploy/system.toml.
