--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -161,19 +161,20 @@
   std::unique_ptr<Server> server_;
 };
 
-/// A machine: its addresses, the node and the backend server beside it.
-class Deployment;
+/// A machine with a node and a backend server, which share its address.
 struct Machine {
   std::string name;
   std::string service;
   std::string ip;
+  /// Process of the node; -1 if there is none.
   pid_t node = -1;
 };
 
-/// What a backend server is told to do; see Backend.
+/// What a backend server says of itself and how it answers.
 struct BackendOptions {
   std::string instance;
   std::string service;
+  /// Milliseconds since 1970 of its start.
   std::uint64_t born = 0;
   int slots = 190;
   double service_time_s = 0.02;
@@ -185,6 +186,7 @@
 
 /// A request that a backend server ran.
 struct Run {
+  /// Seconds since the start of the case.
   double at = 0;
   std::string id;
   std::string caller;
@@ -274,9 +276,11 @@
   std::vector<Machine> machines_;
 };
 
-/// Root of the repository, from the first argument.
+/// Arguments of a case.
 struct Arguments {
+  /// Root of the repository.
   std::string root;
+  /// Folder of the case, for its record.
   std::string folder;
 };
 /// Runs \p play and turns failures to run it into kCannotRun.
