--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -175,8 +175,10 @@
           .count());
 }
 
-void OpenRecord(const std::string& folder) {
-  record_file.open(folder + "/record.txt");
+void OpenRecord(const std::string& path) {
+  record_file.open(path, std::ios::app);
+  if (!record_file)
+    throw std::runtime_error("cannot write " + path);
 }
 
 void Record(const std::string& line) {
@@ -488,19 +490,17 @@
 }
 
 int Backend::Report(const std::string& state) {
-  return ReportAs(NextSequence(), options_.service, state);
+  return Report(NextSequence(), state);
 }
 
-int Backend::ReportAs(std::uint64_t sequence,
-                      const std::string& service,
-                      const std::string& state) {
+int Backend::Report(std::uint64_t sequence, const std::string& state) {
   Request request;
   request.method = "PUT";
   request.target = "/api/instances/" + options_.instance;
   request.headers = {{"Host", ip_}, {"Content-Type", "application/json"}};
   request.body = "{\"address\":\"" + ip_ + ":" + std::to_string(kUpstreamPort) +
                  "\",\"born\":" + std::to_string(options_.born) +
-                 ",\"info\":{\"service\":\"" + service +
+                 ",\"info\":{\"service\":\"" + options_.service +
                  "\",\"version\":\"v1\",\"zone\":\"litoral-a\",\"slots\":" +
                  std::to_string(options_.slots) + "},\"status\":{\"state\":\"" +
                  state + "\",\"seq\":" + std::to_string(sequence) +
@@ -573,11 +573,7 @@
   std::this_thread::sleep_for(duration<double>(options_.service_time_s));
   headers.emplace_back("X-Response-Seal", options_.instance + "." + id);
   std::string body = id + " ";
-  const bool is_long = !options_.long_path.empty() &&
-                       request.target.rfind(options_.long_path, 0) == 0;
-  body.resize(std::max(is_long ? options_.long_body_bytes : options_.body_bytes,
-                       body.size()),
-              'x');
+  body.resize(std::max(options_.body_bytes, body.size()), 'x');
   return FormatResponse(200, headers, body);
 }
 
@@ -699,14 +695,6 @@
   Record("node " + machine.name + " ended");
 }
 
-bool Deployment::HasEnded(Machine& machine) {
-  int status = 0;
-  if (machine.node <= 0 || waitpid(machine.node, &status, WNOHANG) == 0)
-    return machine.node <= 0;
-  machine.node = -1;
-  return true;
-}
-
 bool Deployment::WaitUntilReady(double timeout_s) {
   const double end = Elapsed() + timeout_s;
   while (Elapsed() < end) {
@@ -762,14 +750,14 @@
 
 int RunCase(int argc, char** argv, int (*play)(const Arguments&)) {
   if (argc != 3) {
-    std::fprintf(stderr, "usage: %s REPOSITORY FOLDER\n", argv[0]);
+    std::fprintf(stderr, "usage: %s REPOSITORY RECORD\n", argv[0]);
     return kCannotRun;
   }
   signal(SIGPIPE, SIG_IGN);
   const Arguments arguments{argv[1], argv[2]};
-  OpenRecord(arguments.folder);
   int result = kCannotRun;
   try {
+    OpenRecord(arguments.record);
     result = play(arguments);
   } catch (const std::exception& error) {
     Record(std::string("cannot run: ") + error.what());
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -36,10 +36,10 @@
 /// Milliseconds since 1970, as servers state in `born`.
 std::uint64_t WallMillis();
 
-/// Appends a line with the time to `record.txt` in the folder of the case.
+/// Appends a line with the time to the record of the case.
 void Record(const std::string& line);
-/// Opens `record.txt` in \p folder.
-void OpenRecord(const std::string& folder);
+/// Opens the record at \p path, `record.txt` in the folder of the case.
+void OpenRecord(const std::string& path);
 /// False if the environment has TROUBLE=0.
 bool HasTrouble();
 
@@ -179,9 +179,6 @@
   int slots = 190;
   double service_time_s = 0.02;
   std::size_t body_bytes = 64;
-  /// Requests whose path begins so have long answers; none if empty.
-  std::string long_path;
-  std::size_t long_body_bytes = 0;
 };
 
 /// A request that a backend server ran.
@@ -200,10 +197,8 @@
   ~Backend();
   /// Sends one status report. \returns the status of the answer; 0 if none.
   int Report(const std::string& state);
-  /// The same with another number, service and state.
-  int ReportAs(std::uint64_t sequence,
-               const std::string& service,
-               const std::string& state);
+  /// The same with the number \p sequence.
+  int Report(std::uint64_t sequence, const std::string& state);
   /// Withdraws the server. \returns the status of the answer; 0 if none.
   int Withdraw();
   /// Reports `ready` every 1.5 s until StopReports().
@@ -255,8 +250,6 @@
   void Signal(const Machine& machine, int signal);
   /// Kills the node at once and waits for its end.
   void KillNode(Machine& machine);
-  /// Whether the node has ended by itself.
-  bool HasEnded(Machine& machine);
   /// Waits until all nodes are ready. \returns false after \p timeout_s.
   bool WaitUntilReady(double timeout_s);
   /// Waits until requests of \p host from each machine are answered with 200.
@@ -280,8 +273,8 @@
 struct Arguments {
   /// Root of the repository.
   std::string root;
-  /// Folder of the case, for its record.
-  std::string folder;
+  /// Path of the record.
+  std::string record;
 };
 /// Runs \p play and turns failures to run it into kCannotRun.
 int RunCase(int argc, char** argv, int (*play)(const Arguments&));
