--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -563,6 +563,11 @@
            ", which expects " + expected);
     return FormatResponse(421, headers, "");
   }
+  if (is_full_) {
+    Record("server " + options_.instance + " rejects " + id);
+    headers.emplace_back("X-Not-Executed", "1");
+    return FormatResponse(503, headers, "");
+  }
   const std::string caller = FieldOf(request.headers, "X-Caller");
   {
     const std::lock_guard lock(mutex_);
@@ -570,8 +575,12 @@
   }
   Record("server " + options_.instance + " (" + options_.service + ") runs " +
          id + ", X-Caller " + caller);
-  std::this_thread::sleep_for(duration<double>(options_.service_time_s));
+  const double failing_s = failing_service_time_s_;
+  std::this_thread::sleep_for(
+      duration<double>(failing_s > 0 ? failing_s : options_.service_time_s));
   headers.emplace_back("X-Response-Seal", options_.instance + "." + id);
+  if (failing_s > 0)
+    return FormatResponse(500, headers, "");
   std::string body = id + " ";
   body.resize(std::max(options_.body_bytes, body.size()), 'x');
   return FormatResponse(200, headers, body);
@@ -611,7 +620,8 @@
 }
 
 void Deployment::PutRoutes(int version,
-                           const std::vector<std::string>& routes) {
+                           const std::vector<std::string>& routes,
+                           int max_attempts) {
   std::string listeners;
   std::set<std::string> services;
   for (const std::string& route : routes) {
@@ -625,7 +635,8 @@
         "\",\"rules\":[{\"name\":\"" + host + "\",\"kind\":\"" + kind +
         "\",\"goal\":\"1200ms\",\"priority\":" + (kind == "safe" ? "2" : "0") +
         ",\"match\":{\"prefix\":\"/\"},\"action\":{\"service\":\"" + service +
-        "\",\"timeout\":\"5000ms\",\"max_attempts\":3}}]}";
+        "\",\"timeout\":\"5000ms\",\"max_attempts\":" +
+        std::to_string(max_attempts) + "}}]}";
   }
   std::string clusters;
   for (const std::string& service : services)
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -206,6 +206,12 @@
   void StopReports();
   /// From now on, health checks and all answers say that the server leaves.
   void SetLeaving() { is_leaving_ = true; }
+  /// From now on, all requests are rejected as by a server that is full.
+  void SetFull() { is_full_ = true; }
+  /// From now on, each request takes \p service_time_s and ends with a 500.
+  void SetFailing(double service_time_s) {
+    failing_service_time_s_ = service_time_s;
+  }
   /// Draws the number of the next report, for one that arrives late.
   std::uint64_t NextSequence();
   std::vector<Run> runs();
@@ -217,6 +223,9 @@
   const std::string ip_;
   const BackendOptions options_;
   std::atomic<bool> is_leaving_ = false;
+  std::atomic<bool> is_full_ = false;
+  /// 0 unless requests fail.
+  std::atomic<double> failing_service_time_s_ = 0;
   std::atomic<bool> is_reporting_ = false;
   std::atomic<std::uint64_t> sequence_ = 0;
   std::mutex mutex_;
@@ -245,7 +254,9 @@
   std::size_t size() const { return machines_.size(); }
 
   /// Writes a desired state. Each route is "HOST SERVICE KIND".
-  void PutRoutes(int version, const std::vector<std::string>& routes);
+  void PutRoutes(int version,
+                 const std::vector<std::string>& routes,
+                 int max_attempts = 3);
   void StartNode(Machine& machine, bool bootstrap);
   void Signal(const Machine& machine, int signal);
   /// Kills the node at once and waits for its end.
