--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -170,6 +170,23 @@
   pid_t node = -1;
 };
 
+/// Ids of the requests that servers have rejected.
+class RejectedIds {
+ public:
+  void Add(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    ids_.insert(id);
+  }
+  bool Has(const std::string& id) {
+    const std::lock_guard lock(mutex_);
+    return ids_.count(id) > 0;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::set<std::string> ids_;
+};
+
 /// What a backend server says of itself and how it answers.
 struct BackendOptions {
   std::string instance;
@@ -179,6 +196,8 @@
   int slots = 190;
   double service_time_s = 0.02;
   std::size_t body_bytes = 64;
+  /// Shared by the servers of a case.
+  std::shared_ptr<RejectedIds> rejected = std::make_shared<RejectedIds>();
 };
 
 /// A request that a backend server ran.
@@ -208,9 +227,11 @@
   void SetLeaving() { is_leaving_ = true; }
   /// From now on, all requests are rejected as by a server that is full.
   void SetFull() { is_full_ = true; }
-  /// From now on, each request takes \p service_time_s and ends with a 500.
-  void SetFailing(double service_time_s) {
-    failing_service_time_s_ = service_time_s;
+  /// From now on, requests take \p service_time_s. Those that were rejected
+  /// before take \p long_service_time_s, and their answer is lost.
+  void SetSlow(double service_time_s, double long_service_time_s) {
+    service_time_s_ = service_time_s;
+    long_service_time_s_ = long_service_time_s;
   }
   /// Draws the number of the next report, for one that arrives late.
   std::uint64_t NextSequence();
@@ -224,8 +245,9 @@
   const BackendOptions options_;
   std::atomic<bool> is_leaving_ = false;
   std::atomic<bool> is_full_ = false;
-  /// 0 unless requests fail.
-  std::atomic<double> failing_service_time_s_ = 0;
+  std::atomic<double> service_time_s_;
+  /// 0 unless the server is slow.
+  std::atomic<double> long_service_time_s_ = 0;
   std::atomic<bool> is_reporting_ = false;
   std::atomic<std::uint64_t> sequence_ = 0;
   std::mutex mutex_;
