--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -565,7 +565,9 @@
            ", which expects " + expected);
     return FormatResponse(421, headers, "");
   }
-  if (is_full_) {
+  const int percent = shed_percent_;
+  const int number = percent > 0 ? shed_counter_++ : 0;
+  if ((number + 1) * percent / 100 > number * percent / 100) {
     Record("server " + options_.instance + " rejects " + id);
     options_.rejected->Add(id);
     headers.emplace_back("X-Not-Executed", "1");
