--- a/include/sesamespread/state/route_node_settings.h
+++ b/include/sesamespread/state/route_node_settings.h
@@ -42,6 +42,18 @@
   auto operator<=>(const RetrySettings&) const = default;
 };
 
+/// Tolerance of the bound on a tenant's requests at all nodes together.
+struct QuotaSettings {
+  /// Time over which the bound holds.
+  Duration window{0};
+  /// Share by which the requests in a window may exceed the quota, and a number
+  /// of requests on top of it.
+  double overrun = 0;
+  std::uint32_t slack = 0;
+
+  auto operator<=>(const QuotaSettings&) const = default;
+};
+
 /// Settings of one route node. Defaults are those of RouteNodeSettingsSchema().
 struct RouteNodeSettings {
   std::string name;
@@ -64,6 +76,11 @@
   /// Longest time from SIGTERM to the end of the process.
   Duration shutdown_timeout{0};
   RetrySettings retries;
+  /// Longest time for which a withdrawn API key is accepted after the
+  /// confirmation of its withdrawal, also at nodes that are cut off; zero if
+  /// there is no such bound.
+  Duration revocation_timeout{0};
+  QuotaSettings quotas;
   /// True at the first start of the whole system.
   bool bootstrap = false;
   /// Maximum number of concurrent connections of callers.
--- a/include/sesamespread/state/route_set.h
+++ b/include/sesamespread/state/route_set.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "sesamespread/state/tenant.h"
 #include "sesamespread/state/time.h"
 
 namespace sesamespread::state {
@@ -35,6 +36,8 @@
   bool idempotent = false;
   /// Requests with a higher value are shed first; 0 is the highest priority.
   std::uint32_t priority = 0;
+  /// True if requests need no API key although the document has tenants.
+  bool is_public = false;
   /// Maximum number of backend servers that one attempt of a caller may reach;
   /// at least 1.
   std::uint32_t max_attempts = 1;
@@ -77,6 +80,8 @@
   RequestLimits limits;
   std::vector<Route> routes;
   std::vector<RoutedService> services;
+  /// Empty if requests need no API keys.
+  std::vector<Tenant> tenants = {};
 
   auto operator<=>(const RouteSet&) const = default;
 };
--- a/lib/state/route_node_settings.cc
+++ b/lib/state/route_node_settings.cc
@@ -15,6 +15,7 @@
 
 constexpr std::uint64_t kMaxTimeoutUs = 600'000'000;
 constexpr std::uint64_t kMaxConnections = 1'000'000;
+constexpr std::uint64_t kMaxQuotaSlack = 1'000'000;
 constexpr std::string_view kUnits = "ms or s";
 
 constexpr SchemaRow kSettings[] = {
@@ -55,6 +56,20 @@
      "Repeats as a share of a service's requests."},
     {"retries.window", kDecimalDuration, kUnits, false, "10s",
      "Time over which the bound holds.", "", 1'000'000, kMaxTimeoutUs},
+    {"revocation_timeout", kDecimalDuration, kUnits, false, "0s",
+     "Longest time for which a withdrawn API key is accepted after the "
+     "confirmation of its withdrawal. A node whose knowledge of the document "
+     "is older refuses requests with keys. 0s: no such bound.",
+     "", 0, kMaxTimeoutUs},
+    {"quotas", kMap, "", false, "",
+     "Tolerance of the tenants' quotas, for all nodes together."},
+    {"quotas.window", kDecimalDuration, kUnits, false, "5s",
+     "Time over which a quota holds.", "", 1'000'000, kMaxTimeoutUs},
+    {"quotas.overrun", kShare, "", false, "0.1",
+     "Share by which the requests in a window may exceed the quota."},
+    {"quotas.slack", kCount, "requests", false, "20",
+     "Requests in a window by which a quota may be exceeded in addition.", "",
+     0, kMaxQuotaSlack},
     {"bootstrap", kBoolean, "", false, "false",
      "Whether the whole system starts for the first time, so that there is no "
      "earlier state to recover."},
@@ -92,6 +107,10 @@
   settings.shutdown_timeout = reader.DecimalTime("shutdown_timeout");
   settings.retries = {reader.Share("retries.ratio"),
                       reader.DecimalTime("retries.window")};
+  settings.revocation_timeout = reader.DecimalTime("revocation_timeout");
+  settings.quotas = {reader.DecimalTime("quotas.window"),
+                     reader.Share("quotas.overrun"),
+                     reader.Count("quotas.slack")};
   settings.bootstrap = reader.Text("bootstrap") == "true";
   settings.max_connections = reader.Count("max_connections");
   settings.log_level = LevelOf(reader.Text("log.level"));
@@ -128,6 +147,7 @@
 using Settings = RouteNodeSettings;
 constexpr auto kListen = &Settings::listen;
 constexpr auto kRetries = &Settings::retries;
+constexpr auto kQuotas = &Settings::quotas;
 
 constexpr SettingsRow kRows[] = {
     {"name", Differs<&Settings::name>, nullptr},
@@ -150,6 +170,12 @@
      CopyNested<kRetries, &RetrySettings::ratio>},
     {"retries.window", NestedDiffers<kRetries, &RetrySettings::window>,
      nullptr},
+    {"revocation_timeout", Differs<&Settings::revocation_timeout>,
+     Copy<&Settings::revocation_timeout>},
+    {"quotas.window", NestedDiffers<kQuotas, &QuotaSettings::window>, nullptr},
+    {"quotas.overrun", NestedDiffers<kQuotas, &QuotaSettings::overrun>,
+     nullptr},
+    {"quotas.slack", NestedDiffers<kQuotas, &QuotaSettings::slack>, nullptr},
     {"bootstrap", Differs<&Settings::bootstrap>, nullptr},
     {"max_connections", Differs<&Settings::max_connections>, nullptr},
     {"log.level", Differs<&Settings::log_level>, Copy<&Settings::log_level>},
