Authenticate callers by API keys and refuse keys of outdated documents

Cause: the node knew no tenants. It passed the caller's Authorization field on to backend servers, sent them no tenant's name, and ran requests whose keys the operator had withdrawn.

Change: a request is admitted by the key of a tenant unless its route is public or a running request makes it. A node knows the time of the store's clock at which the store last had the document in force, from its own calls or from the notices of others, and refuses requests with keys if that is longer ago than the revocation timeout less a margin.

--- a/include/sesamespread/coordination/route_table.h
+++ b/include/sesamespread/coordination/route_table.h
@@ -28,6 +28,9 @@
   const state::Route* Find(std::string_view name) const;
 
   const state::RouteSet& routes() const { return *routes_; }
+  const std::shared_ptr<const state::RouteSet>& shared_routes() const {
+    return routes_;
+  }
 
  private:
   std::shared_ptr<const state::RouteSet> routes_;
--- a/include/sesamespread/coordination/row_store.h
+++ b/include/sesamespread/coordination/row_store.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,11 @@
   /// not stated. It rises when the store comes back from an older copy, after
   /// which versions are given out again.
   std::uint64_t era = 0;
+  /// Reading of the store's monotonic clock at that point; nullopt if not
+  /// stated.
+  std::optional<state::Duration> store_time;
+  /// Local time before the request was sent, so that the reading is later.
+  state::Instant requested_at{};
   /// The store no longer has the changes after the requested version, so the
   /// whole table must be read.
   bool is_history_lost = false;
--- a/include/sesamespread/coordination/table_watch.h
+++ b/include/sesamespread/coordination/table_watch.h
@@ -69,6 +69,10 @@
   /// \returns false if that era or a later one is known already.
   bool OnEraSeen(std::uint64_t era);
 
+  /// Whether the next call has to be a read, since the last reply does not tell
+  /// of all changes.
+  bool needs_read() const { return needs_read_; }
+
   /// The position after which changes are watched.
   const StorePosition& position() const { return position_; }
 
--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -223,10 +223,29 @@
   std::uint64_t version = 0;
   /// The latest era of the store that the node knows; 0 if none.
   std::uint64_t store_era = 0;
+  /// A reading of the store's clock, in that era, at which the store had no
+  /// later version; zero if none is known.
+  state::Duration store_time{0};
 
   auto operator<=>(const VersionNotice&) const = default;
 };
 
+/// Requests the receiver's latest possible reading of the store's clock.
+struct StoreClockPull {
+  std::uint64_t token = 0;
+
+  auto operator<=>(const StoreClockPull&) const = default;
+};
+
+/// The answer: when it was sent, the store's clock was not past `store_time`.
+struct StoreClockPush {
+  std::uint64_t token = 0;
+  std::uint64_t store_era = 0;
+  state::Duration store_time{0};
+
+  auto operator<=>(const StoreClockPush&) const = default;
+};
+
 /// A backend server has ended under requests with `contents`; see
 /// coordination::CrashSuspects.
 struct CrashReport {
@@ -262,7 +281,9 @@
                                  BackendLeftPull,
                                  VersionNotice,
                                  CrashReport,
-                                 CrashSuspicions>;
+                                 CrashSuspicions,
+                                 StoreClockPull,
+                                 StoreClockPush>;
 
 /// Messages in datagrams are defined by the gossip protocol, which is part of
 /// the coordination layer.
--- a/include/sesamespread/transport/entry_request_handler.h
+++ b/include/sesamespread/transport/entry_request_handler.h
@@ -24,6 +24,7 @@
 #include "sesamespread/coordination/traffic_splitter.h"
 #include "sesamespread/coordination/wait_table.h"
 #include "sesamespread/state/node_record.h"
+#include "sesamespread/transport/api_key_table.h"
 #include "sesamespread/transport/backend_executor.h"
 #include "sesamespread/transport/call_executor.h"
 #include "sesamespread/transport/deadline_queue.h"
@@ -71,8 +72,11 @@
   EntryRequestHandler(const EntryRequestHandler&) = delete;
   EntryRequestHandler& operator=(const EntryRequestHandler&) = delete;
 
-  void SetRoutes(std::shared_ptr<const coordination::RouteTable> routes) {
-    routes_ = std::move(routes);
+  void SetRoutes(std::shared_ptr<const coordination::RouteTable> routes);
+  /// \p are_current tells whether the API keys of the routes are known to be
+  /// recent enough to be accepted. All are accepted if it is not set.
+  void SetKeyCheck(std::function<bool()> are_current) {
+    are_keys_current_ = std::move(are_current);
   }
   /// \p observer is called with the version of the routes that another node
   /// reports in an answer.
@@ -115,6 +119,8 @@
     // Owns `route`, also after a newer version of the routes is in force.
     std::shared_ptr<const coordination::RouteTable> routes;
     const state::Route* route = nullptr;
+    // Part of `routes`; nullptr if the request is no tenant's.
+    const state::Tenant* tenant = nullptr;
     protocol::CallRequest call;
     std::string id;
     // Id of the request at the local backend server that made this request;
@@ -166,6 +172,11 @@
              state::Duration age);
   protocol::CallRequest MakeCall(const HttpRequest& request,
                                  const state::Route& route) const;
+  // Sets the tenant by the API key of the request. \returns the reason to
+  // refuse it, if there is one.
+  std::optional<Failure> Authenticate(Request& request) const;
+  // Sets the tenant, its priority and the field that names it.
+  void SetTenant(Request& request, const state::Tenant* tenant) const;
   // Sets the parent: the request at the local backend server that made this
   // one, if any.
   void SetParent(Request& request) const;
@@ -224,6 +235,7 @@
                                state::ResultCode code,
                                state::Instant now);
   void Respond(Key key, const protocol::CallAnswer& answer);
+  static std::uint16_t StatusOf(const Failure& failure);
   void RespondFailure(const std::shared_ptr<HttpExchange>& exchange,
                       const Failure& failure,
                       state::Duration retry_after);
@@ -244,6 +256,8 @@
   std::function<void(state::NodeId, std::uint64_t)> version_observer_;
   std::mt19937_64 random_;
   std::shared_ptr<const coordination::RouteTable> routes_;
+  std::shared_ptr<const ApiKeyTable> keys_;
+  std::function<bool()> are_keys_current_;
   coordination::TrafficSplitter splits_;
   coordination::SharedRetryBudget budget_;
   coordination::RouteThresholds pressure_;
--- a/include/sesamespread/transport/field_names.h
+++ b/include/sesamespread/transport/field_names.h
@@ -32,6 +32,12 @@
   std::string rate_limit;
   /// Set in all answers of a backend server that leaves.
   std::string leaving;
+  /// API key of a caller, preceded by `api_key_scheme` and a space. Never
+  /// forwarded if the routes have tenants.
+  std::string api_key;
+  std::string api_key_scheme;
+  /// Name of the tenant that holds the caller's API key; set by the node.
+  std::string tenant;
 
   auto operator<=>(const FieldNames&) const = default;
 };
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -124,6 +124,18 @@
   return true;
 }
 
+std::uint64_t ToWireMicros(state::Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::max<std::int64_t>(duration.count(), 0));
+}
+
+// Bounded, so that sums of two of them do not overflow.
+state::Duration FromWireMicros(std::uint64_t micros) {
+  constexpr std::uint64_t kMaxMicros = std::uint64_t{1} << 60;
+  return state::Duration(
+      static_cast<std::int64_t>(std::min(micros, kMaxMicros)));
+}
+
 // --- Encoding of messages --------------------------------------------------
 
 using Body = std::pair<wire::PeerBody, Offset<void>>;
@@ -242,7 +254,20 @@
 Body Encode(FlatBufferBuilder& builder, const VersionNotice& message) {
   return {wire::PeerBody::VersionNotice,
           wire::CreateVersionNotice(builder, message.node, message.version,
-                                    message.store_era)
+                                    message.store_era,
+                                    ToWireMicros(message.store_time))
+              .Union()};
+}
+
+Body Encode(FlatBufferBuilder& builder, const StoreClockPull& message) {
+  return {wire::PeerBody::StoreClockPull,
+          wire::CreateStoreClockPull(builder, message.token).Union()};
+}
+
+Body Encode(FlatBufferBuilder& builder, const StoreClockPush& message) {
+  return {wire::PeerBody::StoreClockPush,
+          wire::CreateStoreClockPush(builder, message.token, message.store_era,
+                                     ToWireMicros(message.store_time))
               .Union()};
 }
 
@@ -426,7 +451,15 @@
       return BackendLeftPull{message.body_as_BackendLeftPull()->node()};
     case wire::PeerBody::VersionNotice: {
       const auto* body = message.body_as_VersionNotice();
-      return VersionNotice{body->node(), body->version(), body->store_era()};
+      return VersionNotice{body->node(), body->version(), body->store_era(),
+                           FromWireMicros(body->store_time_us())};
+    }
+    case wire::PeerBody::StoreClockPull:
+      return StoreClockPull{message.body_as_StoreClockPull()->token()};
+    case wire::PeerBody::StoreClockPush: {
+      const auto* body = message.body_as_StoreClockPush();
+      return StoreClockPush{body->token(), body->store_era(),
+                            FromWireMicros(body->store_time_us())};
     }
     case wire::PeerBody::CrashReport:
       return DecodeCrashReport(*message.body_as_CrashReport());
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -131,6 +131,14 @@
   *alive_ = false;
 }
 
+void EntryRequestHandler::SetRoutes(
+    std::shared_ptr<const coordination::RouteTable> routes) {
+  routes_ = std::move(routes);
+  keys_ = routes_
+              ? std::make_shared<const ApiKeyTable>(routes_->shared_routes())
+              : nullptr;
+}
+
 void EntryRequestHandler::Handle(std::shared_ptr<HttpExchange> exchange,
                                  Duration age) {
   const HttpRequest& request = exchange->request();
@@ -166,6 +174,7 @@
     const HttpRequest& request,
     const state::Route& route) const {
   const FieldNames& fields = options_.fields;
+  const bool has_tenants = !routes_->routes().tenants.empty();
   protocol::CallRequest call;
   call.method = request.method;
   call.path = request.target;
@@ -175,7 +184,11 @@
     const bool replaced = IsSameName(header.name, fields.caller) ||
                           IsSameName(header.name, fields.time_budget_ms) ||
                           IsSameName(header.name, fields.expected_instance);
-    if (!replaced && !protocol::IsConnectionField(header.name))
+    const bool is_credential =
+        has_tenants && (IsSameName(header.name, fields.api_key) ||
+                        IsSameName(header.name, fields.tenant));
+    if (!replaced && !is_credential &&
+        !protocol::IsConnectionField(header.name))
       call.headers.push_back(header);
   }
   call.headers.push_back({fields.caller, options_.caller});
@@ -211,6 +224,10 @@
   });
   request.exchange = std::move(exchange);
   SetParent(request);
+  if (const auto refusal = Authenticate(request)) {
+    Fail(key, *refusal);
+    return;
+  }
   if (request.call.is_repeat)
     budget_.OnCallFromRetry(request.call.service, request.received);
   else
@@ -247,6 +264,43 @@
   request.call.is_repeat = parent->is_repeat;
 }
 
+std::optional<EntryRequestHandler::Failure> EntryRequestHandler::Authenticate(
+    Request& request) const {
+  const std::vector<state::Tenant>& tenants = routes_->routes().tenants;
+  if (tenants.empty())
+    return std::nullopt;
+  const auto& headers = request.exchange->request().headers;
+  const std::string_view credentials =
+      FieldOf(headers, options_.fields.api_key);
+  const bool may_lack_key =
+      request.route->is_public || request.call.from_backend;
+  if (credentials.empty() && may_lack_key)
+    return std::nullopt;
+  // An outdated table can't tell a withdrawn key from a valid one, nor a new
+  // key from an unknown one.
+  if (are_keys_current_ && !are_keys_current_()) {
+    if (request.route->is_public)
+      return std::nullopt;
+    return Failure{ResultCode::kKeysOutdated, RunState::kNotRun,
+                   "this node has not heard of the API keys for too long"};
+  }
+  const state::Tenant* tenant =
+      keys_->Find(ParseApiKey(credentials, options_.fields.api_key_scheme));
+  if (!tenant && !request.route->is_public)
+    return Failure{ResultCode::kUnknownApiKey, RunState::kNotRun,
+                   "the request has no API key of a tenant"};
+  SetTenant(request, tenant);
+  return std::nullopt;
+}
+
+void EntryRequestHandler::SetTenant(Request& request,
+                                    const state::Tenant* tenant) const {
+  request.tenant = tenant;
+  if (!tenant)
+    return;
+  request.call.headers.push_back({options_.fields.tenant, tenant->name});
+}
+
 bool EntryRequestHandler::IsRefusedByStop(const Request& request) const {
   if (refuses_requests_)
     return true;
@@ -689,13 +743,15 @@
   // say nothing about the load of the route.
   if (not_run && !request.call.from_backend &&
       failure.code != ResultCode::kLeaving &&
-      failure.code != ResultCode::kCrashSuspect)
+      failure.code != ResultCode::kCrashSuspect &&
+      failure.code != ResultCode::kKeysOutdated &&
+      failure.code != ResultCode::kUnknownApiKey)
     retry_after_.Observe(request.route->name, true, now);
   RespondFailure(
       request.exchange, failure,
       not_run ? RetryAfterOf(request, failure.code, now) : Duration(0));
   Finish(key, not_run ? "request_refused" : "request_failed", failure.code,
-         not_run ? 503 : state::InfoOf(failure.code).http_status,
+         StatusOf(failure),
          failure.log_detail.empty() ? failure.detail : failure.log_detail);
 }
 
@@ -710,23 +766,30 @@
                                random_);
 }
 
+std::uint16_t EntryRequestHandler::StatusOf(const Failure& failure) {
+  const auto status =
+      static_cast<std::uint16_t>(state::InfoOf(failure.code).http_status);
+  // Status 503 promises that the request has not run; other statuses from 500
+  // on do not.
+  const bool not_run = failure.run_state == RunState::kNotRun;
+  if (not_run && status >= kFirstServerError)
+    return 503;
+  return !not_run && status == 503 ? 502 : status;
+}
+
 void EntryRequestHandler::RespondFailure(
     const std::shared_ptr<HttpExchange>& exchange,
     const Failure& failure,
     Duration retry_after) {
-  const state::ResultCodeInfo& info = state::InfoOf(failure.code);
   HttpResponse response;
-  response.status = static_cast<std::uint16_t>(info.http_status);
-  // Status 503 promises that the request has not run; other statuses do not.
-  const bool not_run = failure.run_state == RunState::kNotRun;
-  if (not_run && info.http_status >= kFirstServerError)
-    response.status = 503;
-  else if (!not_run && info.http_status == 503)
-    response.status = 502;
+  response.status = StatusOf(failure);
   response.headers = {{"Content-Type", "application/problem+json"},
                       {std::string(protocol::kResultField),
                        std::to_string(static_cast<int>(failure.code))}};
-  if (response.status == 503) {
+  if (failure.code == ResultCode::kUnknownApiKey)
+    response.headers.push_back(
+        {"WWW-Authenticate", options_.fields.api_key_scheme});
+  if (response.status == 503 || response.status == 429) {
     response.headers.push_back(
         {"Retry-After",
          fmt::format("{:.3f}",
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -49,6 +49,14 @@
 /// Bound on the answers that callers have yet to read together.
 constexpr std::size_t kMaxCallerUnsentBytes = 32 << 20;
 
+/// Part of the revocation timeout that is kept for the resolution and the drift
+/// of the clocks.
+constexpr Duration kRevocationMargin = milliseconds(500);
+
+/// Shortest time between two requests for another node's reading of the store's
+/// clock.
+constexpr Duration kStoreClockPullInterval = milliseconds(300);
+
 /// Key of the document in a ConfigurationPush.
 constexpr char kDocumentEntry[] = "document";
 
@@ -107,6 +115,13 @@
 
 }  // namespace
 
+Duration MaxDocumentAge(const state::RouteNodeSettings& settings) {
+  if (settings.revocation_timeout <= Duration(0))
+    return Duration(0);
+  return std::max(settings.revocation_timeout - kRevocationMargin,
+                  settings.revocation_timeout / 2);
+}
+
 HttpResponse JsonResponse(std::uint16_t status, std::string body) {
   HttpResponse response;
   response.status = status;
@@ -188,6 +203,8 @@
   backend_executor_.SetLeaveObserver([this] { OnStatedLeave(); });
   backend_executor_.SetCrashObserver(
       [this](const protocol::CrashReport& r) { BroadcastCrashReport(r); });
+  document_freshness_.set_max_age(MaxDocumentAge(settings));
+  entry_.SetKeyCheck([this] { return document_freshness_.IsFresh(Now()); });
   entry_.SetVersionObserver([this](state::NodeId node, std::uint64_t version) {
     OnPeerRoutesVersion(node, version);
   });
@@ -336,12 +353,16 @@
     return;
   }
   if (const auto* notice = std::get_if<protocol::VersionNotice>(&message)) {
-    if (directory_.is_in_own_zone(notice->node))
-      last_zone_notice_ = Now();
-    OnStoreEra(notice->store_era);
-    OnPeerRoutesVersion(notice->node, notice->version);
-    if (notice->version > version() && !directory_.is_linked(notice->node))
-      reply(protocol::ConfigurationPull{version()});
+    OnVersionNotice(*notice, reply);
+    return;
+  }
+  if (const auto* pull = std::get_if<protocol::StoreClockPull>(&message)) {
+    if (const auto latest = store_clock_.LatestAt(Now()))
+      reply(protocol::StoreClockPush{pull->token, latest->era, latest->time});
+    return;
+  }
+  if (const auto* push = std::get_if<protocol::StoreClockPush>(&message)) {
+    OnStoreClockPush(*push);
     return;
   }
   if (const auto* pull = std::get_if<protocol::BackendLeftPull>(&message)) {
@@ -388,6 +409,37 @@
   }
 }
 
+void RouteNode::Impl::OnVersionNotice(const protocol::VersionNotice& notice,
+                                      const Reply& reply) {
+  const Instant now = Now();
+  if (directory_.is_in_own_zone(notice.node))
+    last_zone_notice_ = now;
+  OnStoreEra(notice.store_era);
+  OnPeerRoutesVersion(notice.node, notice.version);
+  if (notice.version > version() && !directory_.is_linked(notice.node))
+    reply(protocol::ConfigurationPull{version()});
+  if (notice.store_time <= Duration(0))
+    return;
+  document_freshness_.OnStatement(notice.version,
+                                  {notice.store_era, notice.store_time},
+                                  version(), store_clock_, now);
+  if (store_clock_.IsKnown(notice.store_era) ||
+      now - store_clock_pulled_at_ < kStoreClockPullInterval)
+    return;
+  store_clock_token_ = random_() | 1;
+  store_clock_pulled_at_ = now;
+  reply(protocol::StoreClockPull{store_clock_token_});
+}
+
+void RouteNode::Impl::OnStoreClockPush(const protocol::StoreClockPush& push) {
+  // The reading is later than the request only if it answers the last one.
+  if (push.token == 0 || push.token != store_clock_token_)
+    return;
+  store_clock_token_ = 0;
+  store_clock_.OnReading({push.store_era, push.store_time},
+                         store_clock_pulled_at_, Now());
+}
+
 void RouteNode::Impl::BroadcastCrashReport(
     const protocol::CrashReport& report) {
   inbound_.Broadcast(report);
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "sesamespread/coordination/backend_registry.h"
+#include "sesamespread/coordination/document_freshness.h"
 #include "sesamespread/coordination/leave_durability.h"
 #include "sesamespread/coordination/route_table.h"
 #include "sesamespread/coordination/routing.h"
@@ -51,6 +52,10 @@
 /// An answer of one of the node's own ports.
 HttpResponse JsonResponse(std::uint16_t status, std::string body);
 
+/// Longest age of the document at which its API keys are accepted; zero if
+/// there is no bound.
+state::Duration MaxDocumentAge(const state::RouteNodeSettings& settings);
+
 class RouteNode::Impl : private CallExecutor {
  public:
   Impl(const state::RouteNodeSettings& settings,
@@ -101,7 +106,15 @@
   void ScheduleOwnRowsCheck(state::Duration pause);
   void CheckOwnRows();
   void OnOwnNodeRow(const coordination::RowsReply& reply);
-  void ApplyDocument(const std::string& document, std::string_view source);
+  // \returns false if the document is invalid.
+  bool ApplyDocument(const std::string& document, std::string_view source);
+  // Records the reading of the store's clock in \p reply.
+  void ReadStoreClock(const coordination::RowsReply& reply);
+  void OnVersionNotice(const protocol::VersionNotice& notice,
+                       const Reply& reply);
+  void OnStoreClockPush(const protocol::StoreClockPush& push);
+  // Logs when the age of the document passes its bound and when it is back.
+  void CheckDocumentAge(state::Instant now);
   // Notifies some random peers of the version in force.
   void AnnounceVersion();
   // Sends \p message to enough random peers that all nodes receive it if each
@@ -219,6 +232,14 @@
 
   // The latest era of the store that it or a peer has stated; 0 before.
   std::uint64_t store_era_ = 0;
+  coordination::StoreClock store_clock_;
+  coordination::DocumentFreshness document_freshness_;
+  // Whether the API keys of the document were accepted at the last check.
+  bool were_keys_current_ = false;
+  // The last request for another node's reading of the store's clock; the token
+  // is 0 if none is pending.
+  std::uint64_t store_clock_token_ = 0;
+  state::Instant store_clock_pulled_at_{};
   coordination::TableWatch document_watch_;
   const coordination::StoreReaders store_readers_;
   bool is_store_reader_ = false;
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <utility>
 
 namespace sesamespread::transport {
 namespace {
@@ -51,6 +52,7 @@
   PullRoutes();
   ReadOrWatchDocument();
   RepeatAnnouncement(now);
+  CheckDocumentAge(now);
   if (now - last_settings_check_ >= kSettingsCheckInterval) {
     last_settings_check_ = now;
     if (settings_file_.HasChanged())
@@ -59,6 +61,21 @@
   deadlines_.Schedule(now + kTickInterval, [this] { Tick(); });
 }
 
+void RouteNode::Impl::CheckDocumentAge(Instant now) {
+  if (settings_.revocation_timeout <= Duration(0) || !routes_)
+    return;
+  const bool are_current = document_freshness_.IsFresh(now);
+  if (std::exchange(were_keys_current_, are_current) == are_current)
+    return;
+  const auto age = document_freshness_.Age(now);
+  Log(are_current ? LogLevel::kInfo : LogLevel::kWarning,
+      are_current ? "keys_current" : "keys_outdated",
+      {{"version", std::to_string(version())},
+       {"age_us", age ? std::to_string(age->count()) : "unknown"},
+       {"store_connected", document_watch_.is_connected() ? "true" : "false"},
+       {"era", std::to_string(store_era_)}});
+}
+
 NodeGauges RouteNode::Impl::Gauges() const {
   const Instant now = Now();
   const auto age = [now](Instant then) {
@@ -122,6 +139,7 @@
   settings_ = state::MergeRuntimeSettings(settings_, read);
   log_.SetLevel(settings_.log_level);
   entry_.SetRetryRatio(settings_.retries.ratio);
+  document_freshness_.set_max_age(MaxDocumentAge(settings_));
   Log(LogLevel::kInfo, "settings_reloaded",
       {{"reason", std::string(reason)},
        {"changes", std::to_string(changes.size())}});
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -42,6 +42,13 @@
 /// store serves.
 constexpr Duration kOwnRowsCheckInterval = milliseconds(4);
 
+/// Age of the document at the nodes of a zone while its readers reach the
+/// store: the wait of a watch and the interval of the notices.
+constexpr Duration kUsualDocumentAge = milliseconds(1500);
+
+/// Longest wait of a watch of the document if withdrawn keys have a bound.
+constexpr Duration kMaxWatchWithKeys = seconds(1);
+
 /// Time after the start in which a node knows its peers from the table of nodes
 /// rather than by their links.
 constexpr Duration kLinkOpeningTime = milliseconds(500);
@@ -119,6 +126,12 @@
       last_document_call_ != started_at_ && !document_watch_.is_connected();
   input.since_last_call = now - last_document_call_;
   input.since_last_notice = now - last_zone_notice_;
+  // Notices of readers that have lost the store do not make the document any
+  // more recent.
+  const auto age = document_freshness_.Age(now);
+  if (settings_.revocation_timeout > Duration(0) && age)
+    input.since_last_notice =
+        std::max(input.since_last_notice, *age - kUsualDocumentAge);
   return input;
 }
 
@@ -139,7 +152,7 @@
   }
   if (!store_readers_.MayCall(input))
     return;
-  const coordination::TableCall call = document_watch_.NextCall(
+  coordination::TableCall call = document_watch_.NextCall(
       store_readers_.CountReaders(directory_.zone_sizes()), is_reader);
   if (call.at > now)
     return;
@@ -152,6 +165,9 @@
     if (number == document_call_number_)
       OnDocumentRows(reply);
   };
+  // A watch that ends late lets the document look older than it is.
+  if (settings_.revocation_timeout > Duration(0))
+    call.wait = std::min(call.wait, kMaxWatchWithKeys);
   if (call.is_read)
     store_->Read(interface_.document_table, {}, done);
   else
@@ -209,6 +225,7 @@
 
 void RouteNode::Impl::OnOwnNodeRow(const coordination::RowsReply& reply) {
   OnStoreEra(reply.era);
+  ReadStoreClock(reply);
   if (reply.status != coordination::StoreStatus::kDone) {
     ScheduleOwnRowsCheck(kMaxTableRetryDelay);
     return;
@@ -222,8 +239,15 @@
     WriteOwnNodeRow(replaced);
 }
 
+void RouteNode::Impl::ReadStoreClock(const coordination::RowsReply& reply) {
+  if (reply.status == coordination::StoreStatus::kDone && reply.store_time)
+    store_clock_.OnReading({reply.era, *reply.store_time}, reply.requested_at,
+                           Now());
+}
+
 void RouteNode::Impl::OnDocumentRows(const coordination::RowsReply& reply) {
   const Instant now = Now();
+  ReadStoreClock(reply);
   document_call_pending_ = false;
   const std::uint64_t watched_after = document_watch_.position().version;
   if (reply.status == coordination::StoreStatus::kDone)
@@ -239,10 +263,18 @@
   }
   LogPositionChange(reply, watched_after);
   LogLeftOutRows(interface_.document_table, reply);
+  bool is_applied = true;
   for (const coordination::StoreRow& row : reply.rows) {
     if (row.key == interface_.document_key && !row.is_removed)
-      ApplyDocument(row.value, "store");
+      is_applied = ApplyDocument(row.value, "store") && is_applied;
   }
+  // After a reply that does not continue the history, the table is read anew.
+  const bool is_complete = reply.status == coordination::StoreStatus::kDone &&
+                           reply.left_out_rows == 0 &&
+                           !document_watch_.needs_read();
+  if (routes_ && is_applied && is_complete && reply.store_time)
+    document_freshness_.OnStatement(version(), {reply.era, *reply.store_time},
+                                    version(), store_clock_, now);
   ReadOrWatchDocument();
 }
 
@@ -262,7 +294,7 @@
          {"era", std::to_string(reply.era)}});
 }
 
-void RouteNode::Impl::ApplyDocument(const std::string& document,
+bool RouteNode::Impl::ApplyDocument(const std::string& document,
                                     std::string_view source) {
   std::shared_ptr<const state::RouteSet> routes;
   try {
@@ -273,19 +305,26 @@
         {{"source", std::string(source)},
          {"in_force", std::to_string(version())},
          {"detail", error.what()}});
-    return;
+    return false;
   }
   if (routes->version <= version())
-    return;
+    return true;
   Log(LogLevel::kInfo, "routes_in_force",
       {{"source", std::string(source)},
        {"version", std::to_string(routes->version)},
        {"before", std::to_string(version())},
-       {"routes", std::to_string(routes->routes.size())}});
+       {"routes", std::to_string(routes->routes.size())},
+       {"public_routes",
+        std::to_string(std::count_if(
+            routes->routes.begin(), routes->routes.end(),
+            [](const state::Route& route) { return route.is_public; }))},
+       {"tenants", std::to_string(routes->tenants.size())}});
   routes_ = routes;
   document_ = document;
   entry_.SetRoutes(std::make_shared<const coordination::RouteTable>(routes));
+  document_freshness_.OnVersionInForce(routes->version, store_clock_, Now());
   AnnounceVersion();
+  return true;
 }
 
 void RouteNode::Impl::AnnounceVersion() {
@@ -309,7 +348,12 @@
 }
 
 protocol::VersionNotice RouteNode::Impl::MakeVersionNotice() const {
-  return {directory_.self().node, version(), store_era_};
+  protocol::VersionNotice notice{directory_.self().node, version(), store_era_,
+                                 Duration(0)};
+  const auto& statement = document_freshness_.statement();
+  if (statement && statement->era == store_era_)
+    notice.store_time = statement->time;
+  return notice;
 }
 
 void RouteNode::Impl::SendVersionNotice(state::NodeId node) {
@@ -375,6 +419,7 @@
 
 void RouteNode::Impl::OnNodeRows(const coordination::RowsReply& reply) {
   OnStoreEra(reply.era);
+  ReadStoreClock(reply);
   if (reply.status != coordination::StoreStatus::kDone) {
     RetryNodeTable(reply.detail);
     return;
--- a/unittests/protocol/codec_test.cc
+++ b/unittests/protocol/codec_test.cc
@@ -81,7 +81,9 @@
 TEST(CodecTest, RoundTripsLeaveAndVersionNotices) {
   for (const PeerMessage& message :
        {PeerMessage(BackendLeft{1, "i-1", 3}), PeerMessage(BackendLeftPull{1}),
-        PeerMessage(VersionNotice{1, 7, 3})}) {
+        PeerMessage(VersionNotice{1, 7, 3, state::Duration(5)}),
+        PeerMessage(StoreClockPull{9}),
+        PeerMessage(StoreClockPush{9, 3, state::Duration(8)})}) {
     const auto decoded = DecodePayload(PayloadOf(EncodeFrame(message)));
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(*decoded, message);
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -22,7 +22,8 @@
 
 const FieldNames kFields = {"X-Id",    "X-Budget",  "X-Seal",   "X-Expect",
                             "X-Load",  "X-Not-Run", "X-Caller", "X-Instance",
-                            "X-Limit", "X-Leaving"};
+                            "X-Limit", "X-Leaving", "X-Key",    "Token",
+                            "X-Tenant"};
 constexpr state::NodeId kSelf = 5;
 
 state::RouteSet MakeRoutes() {
@@ -122,7 +123,23 @@
     std::shared_ptr<std::optional<HttpResponse>> response;
   };
 
-  Sent Send(const std::string& target, const std::string& id) {
+  // Replaces the routes by those of MakeRoutes with two tenants and a public
+  // route.
+  void SetTenants() {
+    state::RouteSet set = MakeRoutes();
+    set.tenants = {{"acme", {"key-1"}, 1, {}}, {"beta", {"key-2"}, 2, {}}};
+    state::Route open = set.routes[0];
+    open.name = "open";
+    open.prefix = "/open/";
+    open.is_public = true;
+    set.routes.push_back(open);
+    entry_->SetRoutes(std::make_shared<const coordination::RouteTable>(
+        std::make_shared<const state::RouteSet>(set)));
+  }
+
+  Sent Send(const std::string& target,
+            const std::string& id,
+            const std::vector<protocol::Header>& more = {}) {
     HttpRequest request;
     request.target = target;
     request.headers = {{"Host", "shop"},
@@ -130,6 +147,7 @@
                        {"X-Budget", "2000"},
                        {"X-Caller", "someone-else"},
                        {"X-Expect", "i-9"}};
+    request.headers.insert(request.headers.end(), more.begin(), more.end());
     auto response = std::make_shared<std::optional<HttpResponse>>();
     auto exchange = std::make_shared<FakeExchange>(request, response);
     entry_->Handle(exchange, state::Duration(0));
@@ -177,6 +195,66 @@
   EXPECT_GT(std::stoi(std::string(FieldOf(headers, "X-Budget"))), 1500);
 }
 
+// Guards against a server that sees a caller's key, or the name of a tenant
+// that the caller has made up.
+TEST_F(EntryRequestHandlerTest, AServerSeesTheTenantInPlaceOfTheKey) {
+  SetTenants();
+  const Sent sent =
+      Send("/read/1", "r1", {{"X-Key", "Token key-2"}, {"X-Tenant", "acme"}});
+  EXPECT_EQ(Await(sent).status, 200);
+  ASSERT_EQ(requests_.size(), 1U);
+  const auto& headers = requests_.front().headers;
+  EXPECT_EQ(FieldOf(headers, "X-Tenant"), "beta");
+  EXPECT_EQ(FieldOf(headers, "X-Key"), "");
+  EXPECT_EQ(std::count_if(headers.begin(), headers.end(),
+                          [](const protocol::Header& header) {
+                            return header.name == "X-Tenant";
+                          }),
+            1);
+}
+
+// Guards against requests without a tenant's key that run.
+TEST_F(EntryRequestHandlerTest, RequestsWithoutAKnownKeyAreUnauthorized) {
+  SetTenants();
+  EXPECT_EQ(Await(Send("/read/1", "r1")).status, 401);
+  EXPECT_EQ(Await(Send("/read/1", "r2", {{"X-Key", "Token other"}})).status,
+            401);
+  EXPECT_EQ(Await(Send("/read/1", "r3", {{"X-Key", "key-1"}})).status, 401);
+  EXPECT_TRUE(requests_.empty());
+}
+
+// Guards against public routes that need a key, or that pass one on.
+TEST_F(EntryRequestHandlerTest, PublicRoutesNeedNoKey) {
+  SetTenants();
+  EXPECT_EQ(Await(Send("/open/1", "r1")).status, 200);
+  EXPECT_EQ(Await(Send("/open/1", "r2", {{"X-Key", "Token other"}})).status,
+            200);
+  ASSERT_EQ(requests_.size(), 2U);
+  EXPECT_EQ(FieldOf(requests_.back().headers, "X-Key"), "");
+}
+
+// Guards against withdrawn keys at a node that is cut off: it can't tell which
+// keys are still valid, so that it answers neither with success nor with 401.
+TEST_F(EntryRequestHandlerTest, KeysAreNotAcceptedFromOutdatedRoutes) {
+  SetTenants();
+  entry_->SetKeyCheck([] { return false; });
+  for (const char* key : {"Token key-1", "Token other"}) {
+    const HttpResponse response =
+        Await(Send("/read/1", "r1", {{"X-Key", key}}));
+    EXPECT_EQ(response.status, 503);
+    EXPECT_NE(FieldOf(response.headers, "Retry-After"), "");
+  }
+  EXPECT_TRUE(requests_.empty());
+  EXPECT_EQ(Await(Send("/open/1", "r2", {{"X-Key", "Token key-1"}})).status,
+            200);
+}
+
+// Guards against key fields that are removed where the routes have no tenants.
+TEST_F(EntryRequestHandlerTest, WithoutTenantsCredentialsAreForwarded) {
+  EXPECT_EQ(Await(Send("/read/1", "r1", {{"X-Key", "Basic abc"}})).status, 200);
+  EXPECT_EQ(FieldOf(requests_.front().headers, "X-Key"), "Basic abc");
+}
+
 // Guards against 404 from a node that has not received its routes yet.
 TEST_F(EntryRequestHandlerTest, RequestsWithoutRoutesAreRefusedWithRetryAfter) {
   entry_->SetRoutes(nullptr);
