Send the tenant of a call to the node that executes it

The node beside a server shares its slots between tenants, but a CallRequest does not say on whose behalf it is made. Append the tenant's name; a call without one has no such field, so that its message is unchanged.

--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -71,6 +71,8 @@
   bool has_alternatives = false;
   /// True if a backend server may have ended under the request before.
   bool is_crash_suspect = false;
+  /// Name of the tenant that the request is attributed to; empty if none.
+  std::string tenant;
 
   auto operator<=>(const CallRequest&) const = default;
 };
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -137,6 +137,10 @@
   const auto body = CreateByteVector(builder, message.body);
   const auto key = builder.CreateString(message.idempotency_key);
   const auto route = builder.CreateString(message.route);
+  // An absent field takes no bytes and decodes as an empty name.
+  const auto tenant = message.tenant.empty()
+                          ? Offset<flatbuffers::String>()
+                          : builder.CreateString(message.tenant);
   return {wire::PeerBody::CallRequest,
           wire::CreateCallRequest(
               builder, message.call_id, &id, service, method, path, headers,
@@ -148,7 +152,7 @@
               static_cast<std::uint64_t>(message.goal_remaining.count()),
               static_cast<std::uint64_t>(message.max_wait.count()),
               message.from_backend, message.is_repeat, message.has_alternatives,
-              message.is_crash_suspect)
+              message.is_crash_suspect, tenant)
               .Union()};
 }
 
@@ -327,6 +331,7 @@
   message.is_repeat = body.is_repeat();
   message.has_alternatives = body.has_alternatives();
   message.is_crash_suspect = body.is_crash_suspect();
+  message.tenant = ToString(body.tenant());
   return message;
 }
 
--- a/unittests/protocol/codec_test.cc
+++ b/unittests/protocol/codec_test.cc
@@ -43,6 +43,22 @@
   EXPECT_EQ(*decoded, message);
 }
 
+// Guards against calls that lose their tenant between nodes, and against bytes
+// spent on it by calls without one.
+TEST(CodecTest, RoundTripsTheTenantOfACall) {
+  CallRequest request = MakeRequest();
+  const std::string without_tenant = EncodeFrame(request);
+  request.tenant = "apiary";
+  const std::string with_tenant = EncodeFrame(request);
+  EXPECT_GT(with_tenant.size(), without_tenant.size());
+  const auto decoded = DecodePayload(PayloadOf(with_tenant));
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(*decoded, PeerMessage(request));
+  const auto empty = DecodePayload(PayloadOf(without_tenant));
+  ASSERT_TRUE(empty.has_value());
+  EXPECT_TRUE(std::get<CallRequest>(*empty).tenant.empty());
+}
+
 TEST(CodecTest, RoundTripsAnAnswerAndAGossipMessage) {
   CallAnswer answer;
   answer.request_id = {3, 4};
