Share a saturated server between tenants of one rank

The queue of a server starts calls by rank and objective only, so that one tenant with ten times its usual load takes the slots of all others.

Within a rank, the tenant with the lowest start tag is next, and a call's expected wait counts the places before its own tag, so that refusals meet the tenants above their shares. A full queue refuses the last call of the tenant furthest above its share instead of a newcomer below its own. Calls without a tenant keep their place in the order between ranks.

The search for the first call that can meet its objective and the count of calls ahead take logarithmic time now; both were linear.

--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -12,12 +12,18 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <ext/pb_ds/assoc_container.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "sesamespread/coordination/fair_shares.h"
 #include "sesamespread/coordination/request_rate_limit.h"
 #include "sesamespread/coordination/ticket.h"
 #include "sesamespread/state/result_code.h"
@@ -49,6 +55,9 @@
   double gain = 0.1;
   /// Service time assumed before the first answer.
   state::Duration initial_service_time = std::chrono::milliseconds(30);
+  /// Work is in slot-microseconds. The calls of each rank are shared
+  /// separately.
+  FairSharesOptions fair_shares;
 };
 
 /// A call that needs a slot.
@@ -65,18 +74,12 @@
   std::uint32_t priority = 0;
   /// The sender tries another server if this one refuses the call.
   bool has_alternatives = false;
+  /// Tenant that the call is attributed to; 0 if none.
+  TenantHash tenant = 0;
 };
 
 enum class QueueOutcome : std::uint8_t { kStart, kQueued, kRefused };
 
-struct QueueDecision {
-  QueueOutcome outcome = QueueOutcome::kStart;
-  /// Meaningful if refused.
-  state::ResultCode code = state::ResultCode::kOk;
-  /// Wait that was expected when the decision was made.
-  state::Duration expected_wait{0};
-};
-
 /// A call that was not started.
 struct QueueRefusal {
   Ticket ticket = 0;
@@ -85,6 +88,17 @@
   auto operator<=>(const QueueRefusal&) const = default;
 };
 
+struct QueueDecision {
+  QueueOutcome outcome = QueueOutcome::kStart;
+  /// Meaningful if refused.
+  state::ResultCode code = state::ResultCode::kOk;
+  /// Wait that was expected when the decision was made.
+  state::Duration expected_wait{0};
+  /// A queued call of a tenant further above its share that was refused to
+  /// make room in a full queue.
+  std::optional<QueueRefusal> evicted;
+};
+
 /// Calls to start and to refuse now.
 struct QueueActions {
   std::vector<Ticket> start;
@@ -112,6 +126,14 @@
 /// objectives are met while calls of different length share the server. Calls
 /// that can no longer meet their objective start last.
 ///
+/// Which rank is next is decided by this order. Within a rank, the tenant that
+/// is next is the one with the lowest tag of its FairShares, and this order
+/// holds between its calls only. Calls without a tenant keep their place in the
+/// order, so that they take no more from tenants than without shares.
+///
+/// All operations take logarithmic time in the number of queued calls, except
+/// Tick and RefuseAll.
+///
 /// Invariants: calls wait only while the limit of calls in progress or the rate
 /// limit is reached; no call starts after its deadline; each offered call is
 /// started, refused or cancelled once.
@@ -124,10 +146,12 @@
 
   /// Ends a call of \p route that was in progress and starts queued ones.
   /// \p answered tells whether \p service_time is that of a complete answer.
+  /// \p ticket is required if the call has a tenant.
   QueueActions Finish(const std::string& route,
                       state::Duration service_time,
                       bool answered,
-                      state::Instant now);
+                      state::Instant now,
+                      Ticket ticket = 0);
 
   /// Refuses calls that have waited too long and starts others. Must be called
   /// every few milliseconds while calls wait.
@@ -166,12 +190,69 @@
   state::Duration ServiceTime(std::string_view route) const;
 
  private:
+  // Position in the queue: calls with a lower value start first.
+  using Order = std::pair<state::Instant, Ticket>;
+  // Start tag of a place in the queue, number of the place, tenant.
+  using PlaceKey = std::tuple<double, std::uint64_t, TenantHash>;
+  // An ordered set that also counts the elements below a key in logarithmic
+  // time.
+  template <typename Key>
+  using CountingSet =
+      __gnu_pbds::tree<Key,
+                       __gnu_pbds::null_type,
+                       std::less<Key>,
+                       __gnu_pbds::rb_tree_tag,
+                       __gnu_pbds::tree_order_statistics_node_update>;
+
+  // Whether a call can still meet its objective.
+  enum Lateness : std::uint8_t { kOnTime, kLate };
+  static constexpr std::array<Lateness, 2> kLatenesses = {kOnTime, kLate};
+
   struct Waiting {
     QueuedCall call;
     state::Instant offered;
     state::Instant order;
+    Lateness lateness = kOnTime;
+  };
+
+  // A tenant's place in the start order of its rank. It is taken by the first
+  // call of the tenant when its turn comes.
+  struct Place {
+    FairTag tag;
+    std::uint64_t number = 0;
+    // Expected work, in slot-microseconds.
+    double work = 0;
+  };
+
+  // The queued calls of one tenant in one rank. There are as many places as
+  // calls.
+  struct Flow {
+    std::array<std::set<Order>, 2> calls;
+    std::deque<Place> places;
+    // Key of the flow in RankGroup::ready.
+    std::array<std::optional<PlaceKey>, 2> ready_key;
+  };
+
+  // The queued calls of one rank that have tenants.
+  struct RankGroup {
+    FairShares shares;
+    std::unordered_map<TenantHash, Flow> flows;
+    // The first places of the flows that have a call of this lateness.
+    std::array<std::set<PlaceKey>, 2> ready;
+    // All places and calls of the flows.
+    CountingSet<PlaceKey> places;
+    CountingSet<Order> orders;
+  };
+
+  // Queued calls of one route by their objectives.
+  using RouteCalls = std::array<std::set<Order>, 2>;
+
+  // A call in progress that has a tenant.
+  struct Running {
+    std::size_t rank = 0;
+    TenantHash tenant = 0;
+    double reserved_work = 0;
   };
-  using Order = std::pair<state::Instant, Ticket>;
 
   std::uint32_t limit() const;
   // Position in the queue: calls with an earlier value start first.
@@ -183,9 +264,25 @@
   state::Duration AcceptedWait(const QueuedCall& call,
                                std::size_t ahead,
                                state::Instant now) const;
-  std::size_t CountAhead(state::Instant order) const;
+  std::size_t RankOf(const QueuedCall& call) const;
+  // Number of queued calls that would start before \p call.
+  std::size_t CountAhead(const QueuedCall& call, state::Instant order) const;
+  void Insert(const QueuedCall& call, state::Instant now, state::Instant order);
+  // The call that starts next, if any waits.
+  std::optional<Ticket> FindNext() const;
   void StartNext(state::Instant now, QueueActions& actions);
-  void Remove(Ticket ticket);
+  // Removes a call that starts or, unless \p starts, is refused or cancelled.
+  void Remove(Ticket ticket, bool starts = false);
+  void RemoveFromFlow(const Waiting& waiting, Ticket ticket, bool starts);
+  void UpdateReady(RankGroup& group, TenantHash tenant);
+  void CountStart(const QueuedCall& call, state::Instant now);
+  void UpdateLateness(state::Instant now);
+  void SetLateness(Ticket ticket, Lateness lateness);
+  // The calls among which \p call is ordered by \p order only.
+  std::set<Order>& CallsBeside(const QueuedCall& call, Lateness lateness);
+  // Refuses the last call of the tenant furthest above its share, in a rank
+  // that is not above that of \p call, to make room for \p call.
+  std::optional<QueueRefusal> Evict(const QueuedCall& call);
   bool IsTooLate(const QueuedCall& call, state::Instant now) const;
 
   const ServerQueueOptions options_;
@@ -197,8 +294,14 @@
   std::unordered_map<Ticket, Waiting> waiting_;
   // Number of calls in waiting_ that no other server may take.
   std::size_t bound_calls_ = 0;
-  // The tickets of waiting_ in the order in which they start.
-  std::set<Order> order_;
+  // The tickets of waiting_ in the order in which they start if none of them
+  // has a tenant and all meet their objectives.
+  CountingSet<Order> order_;
+  std::array<std::set<Order>, 2> calls_without_tenant_;
+  std::vector<RankGroup> groups_;
+  std::unordered_map<std::string, RouteCalls> routes_;
+  std::unordered_map<Ticket, Running> running_;
+  std::uint64_t next_place_ = 1;
   // Average over the calls of all routes.
   double service_time_us_;
   std::unordered_map<std::string, double> route_service_times_us_;
--- a/lib/coordination/server_queue.cc
+++ b/lib/coordination/server_queue.cc
@@ -26,7 +26,11 @@
 ServerQueue::ServerQueue(ServerQueueOptions options)
     : options_(options),
       service_time_us_(
-          static_cast<double>(options.initial_service_time.count())) {}
+          static_cast<double>(options.initial_service_time.count())) {
+  groups_.reserve(options.goal_factors.size());
+  for (std::size_t rank = 0; rank < options.goal_factors.size(); ++rank)
+    groups_.push_back({FairShares(options.fair_shares), {}, {}, {}, {}});
+}
 
 std::uint32_t ServerQueue::limit() const {
   const std::uint32_t slots = slots_ > 0 ? slots_ : options_.default_slots;
@@ -50,12 +54,14 @@
   external_requests_ = requests > own ? requests - own : 0;
 }
 
+std::size_t ServerQueue::RankOf(const QueuedCall& call) const {
+  return std::min<std::size_t>(call.priority, options_.goal_factors.size() - 1);
+}
+
 Instant ServerQueue::OrderOf(const QueuedCall& call, Instant now) const {
-  const std::size_t rank =
-      std::min<std::size_t>(call.priority, options_.goal_factors.size() - 1);
   const double to_goal =
       static_cast<double>(std::max(call.goal - now, Duration(0)).count());
-  return now + FromMicros(to_goal * options_.goal_factors.at(rank));
+  return now + FromMicros(to_goal * options_.goal_factors.at(RankOf(call)));
 }
 
 Duration ServerQueue::SlotWaitBehind(std::size_t ahead) const {
@@ -78,9 +84,15 @@
              : call.max_wait;
 }
 
-std::size_t ServerQueue::CountAhead(Instant order) const {
-  return static_cast<std::size_t>(
-      std::distance(order_.begin(), order_.lower_bound({order, 0})));
+std::size_t ServerQueue::CountAhead(const QueuedCall& call,
+                                    Instant order) const {
+  const std::size_t ahead = order_.order_of_key({order, 0});
+  if (call.tenant == 0)
+    return ahead;
+  const RankGroup& group = groups_.at(RankOf(call));
+  return ahead - group.orders.order_of_key({order, 0}) +
+         group.places.order_of_key(
+             {group.shares.NextStart(call.tenant), next_place_, 0});
 }
 
 Duration ServerQueue::ServiceTime(std::string_view route) const {
@@ -104,15 +116,18 @@
   if (in_progress_ < limit() && waiting_.empty() &&
       rate_limit_.TryAcquire(now)) {
     ++in_progress_;
+    CountStart(call, now);
     return decision;
   }
   const Instant order = OrderOf(call, now);
-  const std::size_t ahead = CountAhead(order);
+  const std::size_t ahead = CountAhead(call, order);
   const Duration slot_wait = SlotWaitBehind(ahead);
   decision.expected_wait = ExpectedWaitBehind(ahead, now);
   const bool in_time =
       decision.expected_wait <= AcceptedWait(call, ahead, now) &&
       now + decision.expected_wait + ServiceTime(call.route) <= call.deadline;
+  if (in_time && waiting_.size() >= options_.max_queued)
+    decision.evicted = Evict(call);
   if (!in_time || waiting_.size() >= options_.max_queued) {
     decision.outcome = QueueOutcome::kRefused;
     decision.code = decision.expected_wait > slot_wait
@@ -121,48 +136,199 @@
     return decision;
   }
   decision.outcome = QueueOutcome::kQueued;
+  Insert(call, now, order);
+  return decision;
+}
+
+std::set<ServerQueue::Order>& ServerQueue::CallsBeside(const QueuedCall& call,
+                                                       Lateness lateness) {
+  if (call.tenant == 0)
+    return calls_without_tenant_.at(lateness);
+  return groups_.at(RankOf(call)).flows[call.tenant].calls.at(lateness);
+}
+
+void ServerQueue::Insert(const QueuedCall& call, Instant now, Instant order) {
+  const Duration service_time = ServiceTime(call.route);
+  const Lateness lateness = now + service_time <= call.goal ? kOnTime : kLate;
   bound_calls_ += call.has_alternatives ? 0 : 1;
-  waiting_.emplace(call.ticket, Waiting{call, now, order});
+  waiting_.emplace(call.ticket, Waiting{call, now, order, lateness});
   order_.insert({order, call.ticket});
-  return decision;
+  routes_[call.route].at(lateness).insert({call.goal, call.ticket});
+  CallsBeside(call, lateness).insert({order, call.ticket});
+  if (call.tenant == 0)
+    return;
+  RankGroup& group = groups_.at(RankOf(call));
+  const auto work = static_cast<double>(service_time.count());
+  const Place place{group.shares.Reserve(call.tenant, work, now), next_place_++,
+                    work};
+  group.flows[call.tenant].places.push_back(place);
+  group.places.insert({place.tag.start, place.number, call.tenant});
+  group.orders.insert({order, call.ticket});
+  UpdateReady(group, call.tenant);
 }
 
-void ServerQueue::Remove(Ticket ticket) {
+void ServerQueue::Remove(Ticket ticket, bool starts) {
   const auto found = waiting_.find(ticket);
-  bound_calls_ -= found->second.call.has_alternatives ? 0 : 1;
-  order_.erase({found->second.order, ticket});
+  const Waiting& waiting = found->second;
+  const QueuedCall& call = waiting.call;
+  bound_calls_ -= call.has_alternatives ? 0 : 1;
+  order_.erase({waiting.order, ticket});
+  const auto route = routes_.find(call.route);
+  route->second.at(waiting.lateness).erase({call.goal, ticket});
+  if (route->second[kOnTime].empty() && route->second[kLate].empty())
+    routes_.erase(route);
+  CallsBeside(call, waiting.lateness).erase({waiting.order, ticket});
+  if (call.tenant != 0)
+    RemoveFromFlow(waiting, ticket, starts);
   waiting_.erase(found);
 }
 
-void ServerQueue::StartNext(Instant now, QueueActions& actions) {
-  while (in_progress_ < limit() && !order_.empty()) {
-    // The first call that can still meet its objective, or else the first one.
-    auto next = order_.begin();
-    for (auto i = order_.begin(); i != order_.end(); ++i) {
-      const QueuedCall& call = waiting_.at(i->second).call;
-      if (now + ServiceTime(call.route) <= call.goal) {
-        next = i;
-        break;
-      }
+void ServerQueue::RemoveFromFlow(const Waiting& waiting,
+                                 Ticket ticket,
+                                 bool starts) {
+  const TenantHash tenant = waiting.call.tenant;
+  const std::size_t rank = RankOf(waiting.call);
+  RankGroup& group = groups_.at(rank);
+  Flow& flow = group.flows.at(tenant);
+  const Place place = starts ? flow.places.front() : flow.places.back();
+  if (starts) {
+    flow.places.pop_front();
+    group.shares.OnStart(place.tag);
+    running_[ticket] = {rank, tenant, place.work};
+  } else {
+    flow.places.pop_back();
+    group.shares.Release(tenant, place.tag);
+  }
+  group.places.erase({place.tag.start, place.number, tenant});
+  group.orders.erase({waiting.order, ticket});
+  UpdateReady(group, tenant);
+  if (flow.places.empty())
+    group.flows.erase(tenant);
+}
+
+void ServerQueue::UpdateReady(RankGroup& group, TenantHash tenant) {
+  Flow& flow = group.flows.at(tenant);
+  for (const Lateness lateness : kLatenesses) {
+    std::optional<PlaceKey>& key = flow.ready_key.at(lateness);
+    if (key)
+      group.ready.at(lateness).erase(*key);
+    key.reset();
+    if (flow.calls.at(lateness).empty())
+      continue;
+    const Place& first = flow.places.front();
+    key = {first.tag.start, first.number, tenant};
+    group.ready.at(lateness).insert(*key);
+  }
+}
+
+void ServerQueue::CountStart(const QueuedCall& call, Instant now) {
+  if (call.tenant == 0)
+    return;
+  const std::size_t rank = RankOf(call);
+  FairShares& shares = groups_.at(rank).shares;
+  const auto work = static_cast<double>(ServiceTime(call.route).count());
+  shares.OnStart(shares.Reserve(call.tenant, work, now));
+  running_[call.ticket] = {rank, call.tenant, work};
+}
+
+void ServerQueue::SetLateness(Ticket ticket, Lateness lateness) {
+  Waiting& waiting = waiting_.at(ticket);
+  const QueuedCall& call = waiting.call;
+  RouteCalls& route = routes_.at(call.route);
+  route.at(waiting.lateness).erase({call.goal, ticket});
+  route.at(lateness).insert({call.goal, ticket});
+  CallsBeside(call, waiting.lateness).erase({waiting.order, ticket});
+  CallsBeside(call, lateness).insert({waiting.order, ticket});
+  waiting.lateness = lateness;
+  if (call.tenant != 0)
+    UpdateReady(groups_.at(RankOf(call)), call.tenant);
+}
+
+void ServerQueue::UpdateLateness(Instant now) {
+  for (auto& [route, calls] : routes_) {
+    // Service times change, so that late calls may become punctual again.
+    const Instant first_on_time = now + ServiceTime(route);
+    while (!calls[kOnTime].empty() &&
+           calls[kOnTime].begin()->first < first_on_time)
+      SetLateness(calls[kOnTime].begin()->second, kLate);
+    while (!calls[kLate].empty() &&
+           calls[kLate].rbegin()->first >= first_on_time)
+      SetLateness(calls[kLate].rbegin()->second, kOnTime);
+  }
+}
+
+std::optional<QueueRefusal> ServerQueue::Evict(const QueuedCall& call) {
+  if (call.tenant == 0)
+    return std::nullopt;
+  const std::size_t rank = RankOf(call);
+  for (std::size_t i = groups_.size(); i-- > rank;) {
+    RankGroup& group = groups_.at(i);
+    if (group.places.empty())
+      continue;
+    const auto [start, number, tenant] = *group.places.rbegin();
+    if (i == rank &&
+        (tenant == call.tenant || start <= group.shares.NextStart(call.tenant)))
+      return std::nullopt;
+    const Flow& flow = group.flows.at(tenant);
+    const std::set<Order>& calls =
+        flow.calls[kLate].empty() ? flow.calls[kOnTime] : flow.calls[kLate];
+    const Ticket ticket = calls.rbegin()->second;
+    Remove(ticket);
+    return QueueRefusal{ticket, ResultCode::kQueueFull};
+  }
+  return std::nullopt;
+}
+
+std::optional<Ticket> ServerQueue::FindNext() const {
+  for (const Lateness lateness : kLatenesses) {
+    std::optional<Order> next;
+    const auto consider = [&next](const std::set<Order>& calls) {
+      if (!calls.empty() && (!next || *calls.begin() < *next))
+        next = *calls.begin();
+    };
+    consider(calls_without_tenant_.at(lateness));
+    for (const RankGroup& group : groups_) {
+      const auto& ready = group.ready.at(lateness);
+      if (!ready.empty())
+        consider(
+            group.flows.at(std::get<2>(*ready.begin())).calls.at(lateness));
     }
-    const Ticket ticket = next->second;
-    if (IsTooLate(waiting_.at(ticket).call, now)) {
-      Remove(ticket);
-      actions.refuse.push_back({ticket, ResultCode::kDeadlineBeforeStart});
+    if (next)
+      return next->second;
+  }
+  return std::nullopt;
+}
+
+void ServerQueue::StartNext(Instant now, QueueActions& actions) {
+  UpdateLateness(now);
+  while (in_progress_ < limit()) {
+    const auto next = FindNext();
+    if (!next)
+      return;
+    if (IsTooLate(waiting_.at(*next).call, now)) {
+      Remove(*next);
+      actions.refuse.push_back({*next, ResultCode::kDeadlineBeforeStart});
       continue;
     }
     if (!rate_limit_.TryAcquire(now))
       return;
-    Remove(ticket);
+    Remove(*next, /*starts=*/true);
     ++in_progress_;
-    actions.start.push_back(ticket);
+    actions.start.push_back(*next);
   }
 }
 
 QueueActions ServerQueue::Finish(const std::string& route,
                                  Duration service_time,
                                  bool answered,
-                                 Instant now) {
+                                 Instant now,
+                                 Ticket ticket) {
+  if (const auto ended = running_.extract(ticket); !ended.empty()) {
+    const Running& call = ended.mapped();
+    groups_.at(call.rank).shares.OnGiven(
+        call.tenant, static_cast<double>(service_time.count()),
+        call.reserved_work, now);
+  }
   in_progress_ -= in_progress_ > 0 ? 1 : 0;
   if (answered) {
     const auto micros = static_cast<double>(service_time.count());
@@ -205,15 +371,14 @@
   refused.reserve(order_.size());
   for (const auto& [order, ticket] : order_)
     refused.push_back({ticket, code});
-  bound_calls_ = 0;
-  waiting_.clear();
-  order_.clear();
+  for (const QueueRefusal& refusal : refused)
+    Remove(refusal.ticket);
   return refused;
 }
 
 Duration ServerQueue::ExpectedWaitOf(const QueuedCall& call,
                                      Instant now) const {
-  return ExpectedWaitBehind(CountAhead(OrderOf(call, now)), now);
+  return ExpectedWaitBehind(CountAhead(call, OrderOf(call, now)), now);
 }
 
 QueueLoad ServerQueue::load(Instant now) const {
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -199,6 +199,8 @@
   queued_call.max_wait = call.request.max_wait;
   queued_call.priority = call.request.priority;
   queued_call.has_alternatives = call.request.has_alternatives;
+  if (!call.request.tenant.empty())
+    queued_call.tenant = state::HashOf(call.request.tenant);
   return queued_call;
 }
 
@@ -277,6 +279,8 @@
 void BackendExecutor::Offer(Handle handle) {
   const auto decision =
       queue_.Offer(MakeQueuedCall(handle, calls_.at(handle)), Now());
+  if (decision.evicted)
+    PostRefusal(decision.evicted->ticket, decision.evicted->code);
   switch (decision.outcome) {
     case QueueOutcome::kStart:
       Start(handle);
@@ -391,8 +395,8 @@
   if (answered && crash_suspects_.OnAnswered(call.content, Now()) &&
       crash_observer_)
     crash_observer_({0, {call.content}});
-  const auto actions =
-      queue_.Finish(call.request.route, answer.service_time, answered, Now());
+  const auto actions = queue_.Finish(call.request.route, answer.service_time,
+                                     answered, Now(), handle);
   Finish(handle, std::move(answer));
   Apply(actions);
 }
@@ -559,7 +563,7 @@
       continue;
     }
     // The backend server became absent while the call was queued.
-    queue_.Finish({}, Duration(0), false, Now());
+    queue_.Finish({}, Duration(0), false, Now(), handle);
     PostRefusal(handle, ResultCode::kNoBackendServer);
   }
 }
@@ -619,6 +623,8 @@
   coordination::QueuedCall following_call;
   following_call.goal = now + call.request.goal_remaining;
   following_call.priority = call.request.priority;
+  if (!call.request.tenant.empty())
+    following_call.tenant = state::HashOf(call.request.tenant);
   answer.expected_wait = queue_.ExpectedWaitOf(following_call, now);
   answer.backend_state = backend_state();
 }
