Accept load reports with a work time

The parser of X-Server-Load accepted exactly three figures, so that no report was used on services whose servers add how long work takes at the moment. The fourth figure is optional now; 0 and other text are rejected.

On those services the number of requests of others takes effect for the first time. A report that is older than answers which the node has already handled counts their calls as requests of others: with 30 answers handled last to first, the limit fell from 38 to 11. With four figures, only as many count as all reports of the last 200 to 400 ms show; the first report after a start counts at once. With three figures nothing changes.

ServerLoadTest and ServerQueueTest pass.

--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -12,6 +12,8 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -49,6 +51,10 @@
   double gain = 0.1;
   /// Service time assumed before the first answer.
   state::Duration initial_service_time = std::chrono::milliseconds(30);
+  /// Time over which OnReportedLoadAt requires all reports to show the requests
+  /// of others. A node that was not scheduled handles the answers of several
+  /// tens of milliseconds at once.
+  state::Duration external_window = std::chrono::milliseconds(200);
 };
 
 /// A call that needs a slot.
@@ -150,6 +156,12 @@
   /// its start, occupy slots as well.
   void OnReportedLoad(std::uint32_t requests);
 
+  /// The same, but only as many requests count as those of others as all
+  /// reports of the last external_window show. A single report may be older
+  /// than answers that this node has already handled, and then counts their
+  /// calls as requests of others.
+  void OnReportedLoadAt(std::uint32_t requests, state::Instant now);
+
   /// The rate limit that the backend server states. TryAcquire is called by the
   /// queue only.
   RequestRateLimit& rate_limit() { return rate_limit_; }
@@ -174,6 +186,8 @@
   using Order = std::pair<state::Instant, Ticket>;
 
   std::uint32_t limit() const;
+  // Requests of others if the backend server has \p requests in progress.
+  std::uint32_t ExternalOf(std::uint32_t requests) const;
   // Position in the queue: calls with an earlier value start first.
   state::Instant OrderOf(const QueuedCall& call, state::Instant now) const;
   state::Duration SlotWaitBehind(std::size_t ahead) const;
@@ -193,6 +207,14 @@
   std::uint32_t in_progress_ = 0;
   // Requests in progress at the backend server that this node did not send.
   std::uint32_t external_requests_ = 0;
+  // Least number of requests of others in the reports of the current window and
+  // of the one before it, and when the current one began.
+  std::uint32_t least_external_ = 0;
+  // Unlimited at first, so that the requests from before a restart of this node
+  // count from the first report on.
+  std::uint32_t previous_least_external_ =
+      std::numeric_limits<std::uint32_t>::max();
+  std::optional<state::Instant> external_window_start_;
   RequestRateLimit rate_limit_;
   std::unordered_map<Ticket, Waiting> waiting_;
   // Number of calls in waiting_ that no other server may take.
--- a/lib/coordination/server_queue.cc
+++ b/lib/coordination/server_queue.cc
@@ -42,12 +42,31 @@
   slots_ = slots;
 }
 
-void ServerQueue::OnReportedLoad(std::uint32_t requests) {
+std::uint32_t ServerQueue::ExternalOf(std::uint32_t requests) const {
   // The report is as old as the transmission of its answer took, so small
   // differences do not show that there are other requests.
   constexpr std::uint32_t kTolerance = 2;
   const std::uint32_t own = in_progress_ + kTolerance;
-  external_requests_ = requests > own ? requests - own : 0;
+  return requests > own ? requests - own : 0;
+}
+
+void ServerQueue::OnReportedLoad(std::uint32_t requests) {
+  external_requests_ = ExternalOf(requests);
+}
+
+void ServerQueue::OnReportedLoadAt(std::uint32_t requests, Instant now) {
+  const std::uint32_t external = ExternalOf(requests);
+  if (!external_window_start_) {
+    least_external_ = external;
+    external_window_start_ = now;
+  }
+  if (now - *external_window_start_ >= options_.external_window) {
+    previous_least_external_ = least_external_;
+    least_external_ = external;
+    external_window_start_ = now;
+  }
+  least_external_ = std::min(least_external_, external);
+  external_requests_ = std::min(least_external_, previous_least_external_);
 }
 
 Instant ServerQueue::OrderOf(const QueuedCall& call, Instant now) const {
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -454,8 +454,13 @@
                         RunState::kUnknown,
                         "an answer without id on a reused connection");
   }
-  if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load)))
-    queue_.OnReportedLoad(load->running + load->waiting);
+  if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load))) {
+    const std::uint32_t requests = load->running + load->waiting;
+    if (load->reports_work_time)
+      queue_.OnReportedLoadAt(requests, Now());
+    else
+      queue_.OnReportedLoad(requests);
+  }
   const bool misdirected = response.status == kMisdirectedStatus;
   // Another backend server and an earlier instance say nothing about this one.
   if (!misdirected && backend_ && backend_->identity.IsSameRun(call.instance))
--- a/lib/transport/server_load.cc
+++ b/lib/transport/server_load.cc
@@ -9,20 +9,29 @@
 namespace sesamespread::transport {
 
 std::optional<ServerLoad> ParseServerLoad(std::string_view text) {
-  std::array<std::uint32_t, 3> numbers{};
+  constexpr std::size_t kRequired = 3;
+  std::array<std::uint32_t, kRequired + 1> numbers{};
   const char* next = text.data();
   const char* const end = text.data() + text.size();
-  for (std::size_t i = 0; i < numbers.size(); ++i) {
-    if (i > 0 && (next == end || *next++ != ','))
+  std::size_t count = 0;
+  for (; count < numbers.size(); ++count) {
+    if (count == kRequired && next == end)
+      break;
+    if (count > 0 && (next == end || *next++ != ','))
       return std::nullopt;
-    const auto result = std::from_chars(next, end, numbers.at(i));
+    const auto result = std::from_chars(next, end, numbers.at(count));
     if (result.ec != std::errc())
       return std::nullopt;
     next = result.ptr;
   }
-  if (next != end)
+  const bool reports_work_time = count > kRequired;
+  if (next != end || (reports_work_time && numbers[3] == 0))
     return std::nullopt;
-  return ServerLoad{numbers[0], numbers[1], numbers[2]};
+  ServerLoad load{numbers[0], numbers[1], numbers[2]};
+  load.reports_work_time = reports_work_time;
+  if (reports_work_time)
+    load.work_time_percent = numbers[3];
+  return load;
 }
 
 std::optional<double> ParseRateLimit(std::string_view text) {
--- a/unittests/coordination/server_queue_test.cc
+++ b/unittests/coordination/server_queue_test.cc
@@ -65,6 +65,34 @@
   EXPECT_EQ(queue_.load(At(0)).limit, 3U);
 }
 
+// Reports older than answers already handled lowered the limit from 38 to 11
+// although all requests were this node's own.
+TEST_F(ServerQueueTest, LateReportsDoNotReduceTheLimit) {
+  queue_.SetSlots(40);
+  for (Ticket ticket = 1; ticket <= 30; ++ticket)
+    Offer(MakeCall(ticket, At(0)), 0);
+  const std::uint32_t limit = queue_.load(At(0)).limit;
+  // The node was not scheduled and handles the answers last to first.
+  for (std::uint32_t requests = 1; requests <= 30; ++requests) {
+    queue_.OnReportedLoadAt(requests, At(100));
+    queue_.Finish("read", milliseconds(90), true, At(100));
+  }
+  EXPECT_EQ(queue_.load(At(100)).limit, limit);
+  queue_.OnReportedLoadAt(30, At(150));
+  EXPECT_EQ(queue_.load(At(150)).limit, limit);
+}
+
+// The queue sent more than the free slots after a restart of this node.
+TEST_F(ServerQueueTest, LastingExternalRequestsOccupySlots) {
+  queue_.OnReportedLoadAt(4, At(0));
+  EXPECT_EQ(queue_.load(At(0)).limit, 1U);
+  queue_.OnReportedLoadAt(1, At(10));
+  EXPECT_EQ(queue_.load(At(10)).limit, 3U);
+  for (int ms = 300; ms <= 900; ms += 100)
+    queue_.OnReportedLoadAt(4, At(ms));
+  EXPECT_EQ(queue_.load(At(900)).limit, 1U);
+}
+
 TEST_F(ServerQueueTest, CallsOfImportantRequestsOvertakeOthers) {
   for (Ticket ticket = 1; ticket <= 3; ++ticket)
     Offer(MakeCall(ticket, At(0)), 0);
--- a/unittests/transport/server_load_test.cc
+++ b/unittests/transport/server_load_test.cc
@@ -12,9 +12,17 @@
   EXPECT_EQ(ParseServerLoad("3,0,8"), (ServerLoad{3, 0, 8}));
 }
 
+// A report with a work time was dropped as a whole.
+TEST(ServerLoadTest, ParsesAWorkTime) {
+  EXPECT_EQ(ParseServerLoad("3,0,8,250"), (ServerLoad{3, 0, 8, 250, true}));
+  EXPECT_EQ(ParseServerLoad("3,0,8")->work_time_percent, 100U);
+}
+
 TEST(ServerLoadTest, RejectsMalformedText) {
-  for (const char* text : {"", "3", "3,0", "3,0,", "3,0,8,1", "a,0,8", "-1,0,8",
-                           "3, 0, 8", "99999999999,0,8"})
+  for (const char* text :
+       {"", "3", "3,0", "3,0,", "3,0,8,", "3,0,8,0", "3,0,8,x", "3,0,8,1,",
+        "3,0,8,1,2", "3,0,8,-1", "3,0,8,1.5", "3,0,8 ,1", "a,0,8", "-1,0,8",
+        "3, 0, 8", "99999999999,0,8", "3,0,8,99999999999"})
     EXPECT_EQ(ParseServerLoad(text), std::nullopt) << text;
 }
 
