Fail calls to nodes that the directory has forgotten

A request is sent again to a server that has rejected it. A call to an unknown node now fails with kConnectFailed and has not run, a control message to it is dropped, and neither creates a session. ConnectPeer reports an address that is not valid like a failed connection, for all its callers.

Without the change, both new tests of NodeDirectoryTest fail with the exception 'Invalid argument', which nothing catches in a node. With it, the 5 tests of NodeDirectoryTest and the 14 of PeerCallsTest pass.

--- a/include/sesamespread/transport/outbound_calls.h
+++ b/include/sesamespread/transport/outbound_calls.h
@@ -80,7 +80,9 @@
 
   /// Sends \p request to \p node. \p done runs exactly once, with the complete
   /// answer or with a failure, unless the call is cancelled. `not_run` is
-  /// reported by this class only if the request was never sent as a whole.
+  /// reported by this class only if the request was never sent as a whole. A
+  /// call to a default \p endpoint, which is that of an unknown node, fails
+  /// with kConnectFailed.
   Handle Call(state::NodeId node,
               const state::Endpoint& endpoint,
               protocol::CallRequest request,
@@ -92,7 +94,7 @@
   void Cancel(Handle handle);
 
   /// Sends a message for which no answer is awaited here. It is dropped if the
-  /// link fails or too many messages wait for it.
+  /// link fails, too many messages wait for it or \p endpoint is a default one.
   void SendControl(state::NodeId node,
                    const state::Endpoint& endpoint,
                    protocol::PeerMessage message);
--- a/include/sesamespread/transport/peer_link.h
+++ b/include/sesamespread/transport/peer_link.h
@@ -147,7 +147,8 @@
 };
 
 /// Opens a link to \p endpoint. \p done receives the link, or nullptr if no
-/// connection could be opened within \p timeout.
+/// connection could be opened within \p timeout or the address is not valid;
+/// it never runs inside this function.
 void ConnectPeer(boost::asio::io_context& context,
                  const state::Endpoint& endpoint,
                  state::Duration timeout,
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -66,6 +66,14 @@
   call.done = std::move(done);
   call.deadline_timer_id =
       deadlines_.Schedule(deadline, [this, handle] { OnDeadline(handle); });
+  if (endpoint == state::Endpoint{}) {
+    boost::asio::post(context_, [this, handle, alive = alive_] {
+      if (*alive)
+        FailCall(handle, state::ResultCode::kConnectFailed,
+                 state::RunState::kNotRun, "the node is not known");
+    });
+    return handle;
+  }
   PeerSession& session = SessionOf(node, endpoint);
   session.last_used = Now();
   if (session.ready && !call.request.repeatable &&
@@ -106,6 +114,8 @@
 void OutboundCalls::SendControl(state::NodeId node,
                                 const state::Endpoint& endpoint,
                                 protocol::PeerMessage message) {
+  if (endpoint == state::Endpoint{})
+    return;
   PeerSession& session = SessionOf(node, endpoint);
   session.last_used = Now();
   if (session.ready) {
@@ -434,9 +444,10 @@
 void OutboundCalls::Finish(Handle handle, protocol::CallAnswer answer) {
   auto node = calls_.extract(handle);
   deadlines_.Cancel(node.mapped().deadline_timer_id);
-  PeerSession& session = sessions_[node.mapped().node];
-  if (node.mapped().link && session.link == node.mapped().link)
-    --session.in_flight;
+  const auto session = sessions_.find(node.mapped().node);
+  if (node.mapped().link && session != sessions_.end() &&
+      session->second.link == node.mapped().link)
+    --session->second.in_flight;
   // The unused allotment must not exceed the one that was sent with the call.
   answer.unused_allotment =
       std::min(answer.unused_allotment, node.mapped().request.allotment);
--- a/lib/transport/peer_link.cc
+++ b/lib/transport/peer_link.cc
@@ -258,6 +258,12 @@
     asio::steady_timer timer;
     bool timed_out = false;
   };
+  error_code invalid;
+  const auto address = asio::ip::make_address(endpoint.address, invalid);
+  if (invalid || endpoint.port == 0) {
+    asio::post(context, [done = std::move(done)] { done(nullptr); });
+    return;
+  }
   auto attempt = std::make_shared<Attempt>(context);
   attempt->timer.expires_after(timeout);
   attempt->timer.async_wait([attempt](const error_code& error) {
@@ -268,7 +274,7 @@
     attempt->socket.close(ignored);
   });
   attempt->socket.async_connect(
-      ToTcpEndpoint(endpoint),
+      tcp::endpoint(address, endpoint.port),
       [attempt, done = std::move(done)](const error_code& error) {
         attempt->timer.cancel();
         if (error || attempt->timed_out) {
--- a/unittests/transport/node_directory_test.cc
+++ b/unittests/transport/node_directory_test.cc
@@ -112,5 +112,42 @@
                         std::chrono::milliseconds(300)));
 }
 
+// Guards against a retry or a message to a node that the directory has
+// forgotten, because another node has its address: its endpoint is empty then,
+// and connecting to it ended the process.
+TEST_F(NodeDirectoryTest, ACallToAForgottenNodeHasNotRun) {
+  const state::NodeRecord record = MakeRecord(kPeer, listener_.port());
+  directory_.OnDirectRecord(record);
+  outbound_.SendControl(kPeer, record.peer, protocol::ConfigurationPull{0});
+  ASSERT_TRUE(RunUntil([&] { return changes_.size() == 1; }));
+  directory_.OnDirectRecord(MakeRecord(kPeer - 1, listener_.port()));
+  ASSERT_EQ(directory_.EndpointOf(kPeer), state::Endpoint{});
+  outbound_.SendControl(kPeer, directory_.EndpointOf(kPeer),
+                        protocol::ConfigurationPull{0});
+  std::vector<protocol::CallAnswer> answers;
+  outbound_.Call(kPeer, directory_.EndpointOf(kPeer), {},
+                 Now() + std::chrono::seconds(5), 1024,
+                 [&](const protocol::CallAnswer& a) { answers.push_back(a); });
+  // The callback must not run inside Call.
+  EXPECT_TRUE(answers.empty());
+  ASSERT_TRUE(RunUntil([&] { return !answers.empty(); }));
+  EXPECT_EQ(answers[0].result, state::ResultCode::kConnectFailed);
+  EXPECT_EQ(answers[0].run_state, state::RunState::kNotRun);
+}
+
+// Guards against a process that ends because an address can't be parsed.
+TEST_F(NodeDirectoryTest, ConnectingToAnAddressThatIsNotValidFails) {
+  for (const char* const address : {"", "node.example", "127.0.0.1.5"}) {
+    bool is_done = false;
+    ConnectPeer(context_, {address, 80}, kPeerConnectTimeout,
+                [&](const std::shared_ptr<PeerLink>& link) {
+                  is_done = true;
+                  EXPECT_EQ(link, nullptr);
+                });
+    EXPECT_FALSE(is_done);
+    EXPECT_TRUE(RunUntil([&] { return is_done; })) << address;
+  }
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
