Apply a leave of a server run that has not reported yet

Leaves with a start time are recorded for that run, and the stored time of a leave is never before the start of the run.

--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -257,14 +257,14 @@
   if (outcome == ReportOutcome::kChanged) {
     ApplyBackendChange();
     if (!registry_.accepts_work())
-      RecordLeave(registry_.current()->identity.instance);
+      RecordLeave(registry_.current()->identity);
   } else if (outcome == ReportOutcome::kUnchanged && is_backend_down_ &&
              registry_.accepts_work())
     MarkBackendUp("report");
   // A leave that arrives before any report has to be recorded as well.
   if (!report && outcome == ReportOutcome::kStale &&
       !registry_.IsEarlierRun(identity))
-    RecordLeave(identity.instance);
+    RecordLeave(identity);
   if (outcome != ReportOutcome::kUnchanged) {
     Log(LogLevel::kInfo, "report_taken",
         {{"instance", identity.instance},
--- a/lib/transport/route_node_backend.cc
+++ b/lib/transport/route_node_backend.cc
@@ -157,7 +157,7 @@
   if (!current) {
     if (!FieldOf(outcome.response.headers, interface_.fields.leaving).empty()) {
       if (!instance.empty())
-        RecordLeave(instance);
+        RecordLeave({instance, 0});
       return;
     }
     if (unconfirmed_report_)
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -147,7 +147,7 @@
   // Stores the rows of stored_leaves_ whose keys are not in \p found.
   void StoreMissingLeaves(const std::set<std::string>& found);
   // Applies a leave of the local backend server, broadcasts and stores it.
-  void RecordLeave(const std::string& instance);
+  void RecordLeave(const state::BackendInstance& identity);
   void StoreLeave(const std::string& instance, std::uint64_t left_ms);
   // Answers the report of a leave once coordination::LeaveDurability has a
   // verdict.
@@ -250,8 +250,10 @@
   // A leave that this process has recorded, and the reports of it that wait for
   // an answer.
   struct RecordedLeave {
-    explicit RecordedLeave(state::Instant now)
-        : recorded_at(now), durability(now) {}
+    RecordedLeave(std::uint64_t started, state::Instant now)
+        : started_ms(started), recorded_at(now), durability(now) {}
+    // Start time of the instance; 0 if unknown.
+    std::uint64_t started_ms;
     state::Instant recorded_at;
     coordination::LeaveDurability durability;
     std::vector<std::shared_ptr<HttpExchange>> waiting;
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -545,7 +545,10 @@
     AnswerLeave(left.instance);
   }
   if (!left.instance.empty()) {
-    ProcessLeave(left.instance, left.left_ms);
+    // A leave that this process recorded is known to be of one instance of that
+    // name.
+    if (recorded == leaves_.end())
+      ProcessLeave(left.instance, left.left_ms);
     // The store may have forgotten a leave that an earlier process stored.
     const std::string key = LeaveKeyPrefix() + left.instance;
     if (!HasStoredLeave(key)) {
@@ -558,18 +561,30 @@
   ApplyUnconfirmedReport();
 }
 
-void RouteNode::Impl::RecordLeave(const std::string& instance) {
+void RouteNode::Impl::RecordLeave(const state::BackendInstance& identity) {
   const Instant now = Now();
-  const std::uint64_t left_ms = state::WallMilliseconds(WallNow());
-  registry_.ApplyInstanceLeave(instance, left_ms, now);
+  const std::string& instance = identity.instance;
+  // The clock may have been set back since the start of the instance.
+  std::uint64_t left_ms =
+      std::max(state::WallMilliseconds(WallNow()), identity.started_ms);
+  if (registry_.ApplyLeave(identity, left_ms, now) ==
+      coordination::ReportOutcome::kChanged)
+    ApplyBackendChange();
+  // The stored leave must not cover a later instance of the same name.
+  if (registry_.accepts_work() &&
+      registry_.current()->identity.instance == instance)
+    left_ms = identity.started_ms;
   const auto [found, is_first] =
-      leaves_.try_emplace(instance, RecordedLeave{now});
+      leaves_.try_emplace(instance, RecordedLeave{identity.started_ms, now});
   RecordedLeave& leave = found->second;
   if (!is_first) {
     // The backend server repeats its report until it is confirmed. A later
     // instance may use the same name and leave as well.
-    if (now - leave.recorded_at < kRepeatedLeaveTime)
+    const bool is_same_run =
+        state::BackendInstance{instance, leave.started_ms}.IsSameRun(identity);
+    if (is_same_run && now - leave.recorded_at < kRepeatedLeaveTime)
       return;
+    leave.started_ms = identity.started_ms;
     leave.durability = coordination::LeaveDurability(now);
     leave.recorded_at = now;
   }
@@ -596,7 +611,7 @@
   // The record reaches the other nodes before the answer does, on the same
   // links, so that a node that passes the answer on can tell this one of the
   // leave after a restart.
-  RecordLeave(identity.instance);
+  RecordLeave(identity);
 }
 
 void RouteNode::Impl::ConfirmLeave(const std::string& instance,
