Wait at a planned stop until callers have received their answers

PlannedStopTest.AnAnswerThatIsReadSlowlyIsComplete reads an answer of 15.7 MB with a pause of 3.6 s after SIGTERM.

--- a/include/sesamespread/transport/http_server.h
+++ b/include/sesamespread/transport/http_server.h
@@ -100,6 +100,10 @@
   /// Number of open connections, without those that are being refused.
   std::size_t connection_count() const;
 
+  /// Number of answers that are being written, or whose last bytes the caller's
+  /// host has not acknowledged.
+  std::size_t unfinished_answers() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -6,6 +6,8 @@
 #include "sesamespread/transport/http_server.h"
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <array>
@@ -124,6 +126,7 @@
   std::size_t connection_count() const {
     return connections_.size() - refused_count_;
   }
+  std::size_t unfinished_answers() const;
 
  private:
   class Connection;
@@ -183,6 +186,17 @@
 
   bool refused() const { return refused_; }
   bool idle() const { return phase_ == Phase::kIdle; }
+  /// Whether bytes of an answer have not been sent, or not been acknowledged by
+  /// the caller's host.
+  bool is_answering() {
+    if (phase_ == Phase::kWriting)
+      return true;
+    int unacknowledged_bytes = 0;
+    return (phase_ == Phase::kIdle || phase_ == Phase::kLingering) &&
+           ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged_bytes) ==
+               0 &&
+           unacknowledged_bytes > 0;
+  }
   steady_clock::time_point deadline() const { return deadline_; }
 
   std::string peer_address() const {
@@ -700,6 +714,12 @@
   }
 }
 
+std::size_t HttpServer::Impl::unfinished_answers() const {
+  return static_cast<std::size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const auto& connection) { return connection->is_answering(); }));
+}
+
 void HttpServer::Impl::StopAccepting() {
   stopping_ = true;
   error_code error;
@@ -753,4 +773,8 @@
   return impl_->connection_count();
 }
 
+std::size_t HttpServer::unfinished_answers() const {
+  return impl_->unfinished_answers();
+}
+
 }  // namespace sesamespread::transport
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -35,10 +35,14 @@
 /// may be killed.
 constexpr Duration kShutdownMargin = milliseconds(300);
 
-/// Time from the close of the ports to the end of the process, in which pending
-/// writes complete.
+/// Shortest time from the close of the ports to the end of the process, in
+/// which pending writes complete.
 constexpr Duration kFinalWriteTime = milliseconds(100);
 
+/// The process ends this long before the shutdown timeout also if callers still
+/// read answers.
+constexpr Duration kEndMargin = milliseconds(100);
+
 }  // namespace
 
 void RouteNode::Impl::Tick() {
@@ -141,9 +145,9 @@
   if (!shutdown_at_)
     return;
   const Duration elapsed = now - *shutdown_at_;
-  const bool is_idle = entry_.in_flight() == 0 &&
-                       backend_executor_.in_flight() == 0 &&
-                       inbound_.in_flight() == 0;
+  const bool is_idle =
+      entry_.in_flight() == 0 && backend_executor_.in_flight() == 0 &&
+      inbound_.in_flight() == 0 && entry_server_.unfinished_answers() == 0;
   const Duration last_close = settings_.shutdown_timeout - kShutdownMargin;
   const bool must_end = elapsed >= last_close;
   if (elapsed >= kRefuseCallersDelay)
@@ -155,6 +159,8 @@
         {{"idle", is_idle ? "true" : "false"},
          {"elapsed_us", std::to_string(elapsed.count())},
          {"entry_requests", std::to_string(entry_.in_flight())},
+         {"unfinished_answers",
+          std::to_string(entry_server_.unfinished_answers())},
          {"server_calls", std::to_string(backend_executor_.in_flight())}});
     // A request that is read from now on could not be answered by a server.
     entry_.RefuseRequests();
@@ -163,7 +169,10 @@
     report_server_.StopAccepting();
     ready_server_.StopAccepting();
   }
-  if (ports_closed_at_ && now - *ports_closed_at_ >= kFinalWriteTime)
+  if (!ports_closed_at_ || now - *ports_closed_at_ < kFinalWriteTime)
+    return;
+  if (entry_server_.unfinished_answers() == 0 ||
+      elapsed >= settings_.shutdown_timeout - kEndMargin)
     context_.stop();
 }
 
--- a/test/route_node/planned_stop_test.cc
+++ b/test/route_node/planned_stop_test.cc
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "deployment.h"
+#include "raw_backend.h"
 #include "sesamespread/transport/acceptor.h"
 
 namespace sesamespread::test {
@@ -285,5 +286,58 @@
     std::cerr << deployment.CollectDiagnostics();
 }
 
+// Guards against a long answer that is cut off because its reader is slow: the
+// node took itself for idle once the answer was passed to the server of its
+// entry port, and ended 2.7 s after the stop.
+TEST(PlannedStopTest, AnAnswerThatIsReadSlowlyIsComplete) {
+  constexpr std::size_t kBodyBytes = 15 << 20;
+  constexpr std::size_t kReadBeforeStop = 1 << 20;
+  // Later than an idle node ends, and earlier than the grace time.
+  constexpr milliseconds kReadPause{3600};
+  RouteDeployment deployment({{"shop", "stock"}});
+  ASSERT_TRUE(deployment.WaitUntilServing());
+  RouteHost& stopped = deployment.stock(0);
+  stopped.backend.reset();
+  const std::string body(kBodyBytes, 'b');
+  auto server = std::make_unique<RawBackend>(
+      stopped.backend_server, "i-1",
+      [&](const std::string& id, RawConnection& connection) {
+        connection.Write(fmt::format(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {0}\r\nX-Response-Seal: i-1/{0}"
+            "\r\nContent-Length: {1}\r\n\r\n",
+            id, body.size()));
+        connection.Write(body);
+      });
+  boost::asio::io_context context;
+  tcp::socket socket(context);
+  socket.open(tcp::v4());
+  socket.set_option(tcp::socket::receive_buffer_size(64 << 10));
+  socket.connect(transport::ToTcpEndpoint(stopped.entry));
+  const std::string request =
+      "GET /item HTTP/1.1\r\nHost: stock.example\r\nX-Attempt-Id: slow\r\n"
+      "X-Deadline-Ms: 15000\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::string received(kReadBeforeStop, 0);
+  boost::asio::read(socket, boost::asio::buffer(received));
+  ASSERT_EQ(received.rfind("HTTP/1.1 200", 0), 0U) << received.substr(0, 500);
+  const std::size_t size =
+      received.find("\r\n\r\n") + std::string("\r\n\r\n").size() + kBodyBytes;
+  stopped.node->Signal(SIGTERM);
+  std::this_thread::sleep_for(kReadPause);
+  received.resize(size);
+  boost::system::error_code error;
+  const std::size_t rest =
+      boost::asio::read(socket,
+                        boost::asio::buffer(received.data() + kReadBeforeStop,
+                                            size - kReadBeforeStop),
+                        error);
+  EXPECT_EQ(kReadBeforeStop + rest, size) << error.message();
+  socket.close();
+  EXPECT_EQ(stopped.node->Wait(kGrace), 0);
+  server.reset();
+  if (::testing::Test::HasFailure())
+    std::cerr << deployment.CollectDiagnostics();
+}
+
 }  // namespace
 }  // namespace sesamespread::test
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -14,6 +14,10 @@
 namespace sesamespread::transport {
 namespace {
 
+// Lets a slow reader read the rest fast.
+const boost::asio::socket_base::receive_buffer_size kLargeReceiveBuffer(1
+                                                                        << 20);
+
 constexpr char kGet[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
 class HttpServerTest : public testing::Test {
@@ -39,6 +43,11 @@
     exchange->Respond(std::move(response));
   }
 
+  void RunFor(std::chrono::milliseconds time) {
+    context_.restart();
+    context_.run_for(time);
+  }
+
   RawPeer Connect() {
     RawPeer peer(context_);
     peer.Connect(server_->port());
@@ -439,6 +448,26 @@
             std::string::npos);
 }
 
+// Guards against a stop that counts a connection as idle while its caller still
+// reads a long answer.
+TEST_F(HttpServerTest, CountsAnswersUntilTheyAreReceived) {
+  constexpr std::size_t kBodyBytes = 8 << 20;
+  Start();
+  EXPECT_EQ(server_->unfinished_answers(), 0U);
+  RawPeer peer = SendToSlowReader(kBodyBytes);
+  server_->StartDraining();
+  RunFor(std::chrono::milliseconds(50));
+  EXPECT_EQ(server_->unfinished_answers(), 1U);
+  server_->StopAccepting();
+  EXPECT_EQ(server_->unfinished_answers(), 1U);
+  peer.socket().set_option(kLargeReceiveBuffer);
+  EXPECT_TRUE(peer.ExpectClose());
+  EXPECT_GT(peer.received().size(), kBodyBytes);
+  peer.socket().close();
+  EXPECT_TRUE(
+      RunUntil(context_, [&] { return server_->unfinished_answers() == 0; }));
+}
+
 TEST_F(HttpServerTest, ThrowsIfTheAddressIsInUse) {
   Start();
   EXPECT_THROW(HttpServer(context_, RawPeer::Loopback(server_->port()), {},
