Answer requests that were read ahead of a stop

A connection whose answer was being written when the ports closed was closed behind that answer, although it did not state so: pipelined requests that had been read got no answer. They are now answered, the first one with Connection: close. Requests behind an answer with that field are not passed to the handler, as before.

Without the change, HttpServerTest.AnswersRequestsThatWereReadAheadOfAStop finds no answer to the second request; ARequestBehindAClosingAnswerIsNotRun passes on both. With it, the 54 tests of HttpServerTest, HttpClientTest, PlatformHttpClientTest and NodeDirectoryTest pass.

--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -495,14 +495,19 @@
       return;
     }
     body_ = std::string();
-    if (close_after_answer_ || server_->stopping_) {
+    if (close_after_answer_) {
       Linger();
       return;
     }
     phase_ = Phase::kIdle;
     deadline_ = steady_clock::now() + server_->options_.idle_timeout;
+    // Requests that were read are answered also while the server stops: nothing
+    // in the last answer told the caller that they would not be.
     Parse();
-    StartRead();
+    if (phase_ == Phase::kIdle && server_->stopping_)
+      Linger();
+    else
+      StartRead();
   }
 
   void Linger() {
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -468,6 +468,40 @@
       RunUntil(context_, [&] { return server_->unfinished_answers() == 0; }));
 }
 
+// Guards against pipelined requests that get no answer although no answer
+// before them closes the connection: the server stopped while it wrote one.
+TEST_F(HttpServerTest, AnswersRequestsThatWereReadAheadOfAStop) {
+  Start();
+  RawPeer peer = SendToSlowReader(8 << 20);
+  peer.Send(std::string(kGet) + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunFor(std::chrono::milliseconds(50));
+  server_->StopAccepting();
+  peer.socket().set_option(kLargeReceiveBuffer);
+  EXPECT_TRUE(peer.ExpectClose());
+  // The first request after the stop is answered and closes the connection; the
+  // one behind it is not run.
+  const std::string& received = peer.received();
+  EXPECT_NE(received.find("Connection: close\r\n\r\n/a"), std::string::npos);
+  ASSERT_EQ(requests_.size(), 2U);
+  EXPECT_EQ(requests_[1].target, "/a");
+}
+
+// Guards against a request that runs although it is behind an answer that
+// closes the connection, so that a caller that sends it again runs it twice.
+TEST_F(HttpServerTest, ARequestBehindAClosingAnswerIsNotRun) {
+  Start();
+  RawPeer peer = Connect();
+  peer.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(kGet) + kGet);
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  server_->StartDraining();
+  held_[0]->Respond({});
+  ASSERT_TRUE(peer.Expect("Connection: close\r\n\r\n"));
+  peer.Send(kGet);
+  EXPECT_TRUE(peer.ExpectClose());
+  EXPECT_EQ(requests_.size(), 1U);
+  EXPECT_EQ(peer.received().find("HTTP/1.1", 1), std::string::npos);
+}
+
 TEST_F(HttpServerTest, ThrowsIfTheAddressIsInUse) {
   Start();
   EXPECT_THROW(HttpServer(context_, RawPeer::Loopback(server_->port()), {},
