--- a/include/sesamespread/transport/http_server.h
+++ b/include/sesamespread/transport/http_server.h
@@ -94,12 +94,17 @@
   void StartDraining();
 
   /// Stops accepting connections and closes idle ones. Requests in progress are
-  /// answered with "Connection: close".
+  /// answered with "Connection: close". Pipelined requests behind an answer with
+  /// that field count as not read, and are never passed to the handler.
   void StopAccepting();
 
   /// Number of open connections, without those that are being refused.
   std::size_t connection_count() const;
 
+  /// Number of answers that are being written, or whose last bytes the caller's
+  /// host has not acknowledged.
+  std::size_t unfinished_answers() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
