Admit requests of tenants by quota, and shed tenants above their share first

Cause: quotas of tenants had no effect, and all requests of a rank were shed alike at the entry node, whatever their tenants were being given.

Change: a request waits for a token of its tenant's quota for a tenth of the time to its objective at most, and gives the token back if it has certainly not run. The priority that is compared with the threshold of a route depends on the tenant's share.

--- a/include/sesamespread/transport/entry_request_handler.h
+++ b/include/sesamespread/transport/entry_request_handler.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "sesamespread/coordination/answer_times.h"
+#include "sesamespread/coordination/entry_shares.h"
 #include "sesamespread/coordination/overload.h"
 #include "sesamespread/coordination/retry_after.h"
 #include "sesamespread/coordination/route_table.h"
@@ -33,6 +34,7 @@
 #include "sesamespread/transport/http_server.h"
 #include "sesamespread/transport/metrics.h"
 #include "sesamespread/transport/outbound_calls.h"
+#include "sesamespread/transport/quota_gate.h"
 
 namespace sesamespread::transport {
 
@@ -73,6 +75,9 @@
   EntryRequestHandler& operator=(const EntryRequestHandler&) = delete;
 
   void SetRoutes(std::shared_ptr<const coordination::RouteTable> routes);
+  /// Requests of tenants with a quota are admitted by \p quotas, which must
+  /// outlive this object. Without it, quotas do not apply.
+  void SetQuotaGate(QuotaGate* quotas) { quotas_ = quotas; }
   /// \p are_current tells whether the API keys of the routes are known to be
   /// recent enough to be accepted. All are accepted if it is not set.
   void SetKeyCheck(std::function<bool()> are_current) {
@@ -148,6 +153,10 @@
     // wait at each server, or enough of them are limited. The last pass allows
     // a longer one.
     bool is_last_pass = false;
+    // Whether a token of the tenant's quota was spent on the request.
+    bool holds_quota = false;
+    // Time until the quota is likely to admit the request.
+    state::Duration quota_retry_after{0};
     // The node to which the request was sent last.
     state::NodeId node = 0;
     // Two only while a hedged request is in flight.
@@ -175,6 +184,11 @@
   // Sets the tenant by the API key of the request. \returns the reason to
   // refuse it, if there is one.
   std::optional<Failure> Authenticate(Request& request) const;
+  // Sends the request once the quota of its tenant admits it.
+  void AcquireQuota(Key key);
+  void OnQuotaVerdict(Key key,
+                      const std::string& tenant,
+                      const QuotaVerdict& verdict);
   // Sets the tenant, its priority and the field that names it.
   void SetTenant(Request& request, const state::Tenant* tenant) const;
   // Sets the parent: the request at the local backend server that made this
@@ -183,7 +197,7 @@
   // The overloaded service for which the request must be shed; nullopt if there
   // is none.
   std::optional<coordination::ReportedThreshold> FindOverload(
-      const Request& request) const;
+      const Request& request);
   // Whether a stopping node refuses the new request.
   bool IsRefusedByStop(const Request& request) const;
   // Servers already tried in this pass, and those with too long a queue.
@@ -258,9 +272,11 @@
   std::shared_ptr<const coordination::RouteTable> routes_;
   std::shared_ptr<const ApiKeyTable> keys_;
   std::function<bool()> are_keys_current_;
+  QuotaGate* quotas_ = nullptr;
   coordination::TrafficSplitter splits_;
   coordination::SharedRetryBudget budget_;
   coordination::RouteThresholds pressure_;
+  coordination::EntryShares entry_shares_;
   coordination::WaitTable waits_;
   coordination::AnswerTimes answer_times_;
   coordination::RetryAfterEstimator retry_after_;
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -62,6 +62,13 @@
 /// Least Retry-After of a request that is suspected to end servers.
 constexpr Duration kMinCrashSuspectRetryAfter = std::chrono::seconds(1);
 
+/// Share of the time to its objective that a request may wait for its tenant's
+/// quota.
+constexpr double kQuotaWaitShare = 0.1;
+
+/// Least Retry-After of a request above its tenant's quota.
+constexpr Duration kMinQuotaRetryAfter = std::chrono::milliseconds(200);
+
 /// How long after the deadline an answer is still accepted. A backend server
 /// ends an overdue request with an answer of its own, which arrives after the
 /// deadline.
@@ -243,7 +250,7 @@
                            overload->service, overload->threshold)});
     return;
   }
-  SendToNextServer(key);
+  AcquireQuota(key);
 }
 
 void EntryRequestHandler::SetParent(Request& request) const {
@@ -260,6 +267,7 @@
     return;
   request.parent_id = parent_id;
   request.call.from_backend = true;
+  request.call.tenant = parent->tenant;
   request.call.priority = std::min(request.call.priority, parent->priority);
   request.call.is_repeat = parent->is_repeat;
 }
@@ -298,9 +306,47 @@
   request.tenant = tenant;
   if (!tenant)
     return;
+  request.call.tenant = tenant->name;
   request.call.headers.push_back({options_.fields.tenant, tenant->name});
 }
 
+void EntryRequestHandler::AcquireQuota(Key key) {
+  const Request& request = requests_.at(key);
+  if (!quotas_ || !request.tenant || !request.tenant->quota.is_limited()) {
+    SendToNextServer(key);
+    return;
+  }
+  const Instant now = Now();
+  const Duration max_wait =
+      Scale(std::max(request.goal - now, Duration(0)), kQuotaWaitShare);
+  quotas_->Acquire(request.tenant->name, now + max_wait,
+                   [this, key, tenant = request.tenant->name,
+                    alive = alive_](const QuotaVerdict& verdict) {
+                     if (*alive)
+                       OnQuotaVerdict(key, tenant, verdict);
+                   });
+}
+
+void EntryRequestHandler::OnQuotaVerdict(Key key,
+                                         const std::string& tenant,
+                                         const QuotaVerdict& verdict) {
+  const auto found = requests_.find(key);
+  if (found == requests_.end()) {
+    if (verdict.admitted)
+      quotas_->Release(tenant);
+    return;
+  }
+  Request& request = found->second;
+  if (!verdict.admitted) {
+    request.quota_retry_after = verdict.retry_after;
+    Fail(key, {ResultCode::kQuotaExceeded, RunState::kNotRun,
+               "the quota of the tenant is used up"});
+    return;
+  }
+  request.holds_quota = true;
+  SendToNextServer(key);
+}
+
 bool EntryRequestHandler::IsRefusedByStop(const Request& request) const {
   if (refuses_requests_)
     return true;
@@ -316,15 +362,19 @@
 }
 
 std::optional<coordination::ReportedThreshold>
-EntryRequestHandler::FindOverload(const Request& request) const {
+EntryRequestHandler::FindOverload(const Request& request) {
   if (request.call.from_backend)
     return std::nullopt;
-  const std::uint32_t priority = coordination::EntryPriority(
-      request.call.priority, request.call.request_id.high);
-  auto lowest = pressure_.LowestThreshold(request.route->name, Now());
-  if (priority < lowest.threshold)
-    return std::nullopt;
-  return lowest;
+  const Instant now = Now();
+  const coordination::TenantHash tenant =
+      request.tenant ? state::HashOf(request.tenant->name) : 0;
+  const std::uint32_t priority = entry_shares_.PriorityOf(
+      request.call.priority, request.call.request_id.high, tenant, now);
+  auto lowest = pressure_.LowestThreshold(request.route->name, now);
+  if (priority >= lowest.threshold)
+    return lowest;
+  entry_shares_.OnAdmitted(request.call.priority, tenant, now);
+  return std::nullopt;
 }
 
 std::vector<NodeId> EntryRequestHandler::ExcludedServers(const Request& request,
@@ -745,8 +795,11 @@
       failure.code != ResultCode::kLeaving &&
       failure.code != ResultCode::kCrashSuspect &&
       failure.code != ResultCode::kKeysOutdated &&
+      failure.code != ResultCode::kQuotaExceeded &&
       failure.code != ResultCode::kUnknownApiKey)
     retry_after_.Observe(request.route->name, true, now);
+  if (not_run && request.holds_quota)
+    quotas_->Release(request.tenant->name);
   RespondFailure(
       request.exchange, failure,
       not_run ? RetryAfterOf(request, failure.code, now) : Duration(0));
@@ -762,6 +815,12 @@
     return std::max(backend_executor_.crash_suspects().BlockedFor(
                         BackendExecutor::ContentOf(request.call), now),
                     kMinCrashSuspectRetryAfter);
+  if (code == ResultCode::kQuotaExceeded) {
+    // Spread, so that the callers of a tenant do not return together.
+    std::uniform_real_distribution<double> spread(1, 2);
+    return Scale(std::max(request.quota_retry_after, kMinQuotaRetryAfter),
+                 spread(random_));
+  }
   return retry_after_.Estimate(request.route->name, request.route->goal, now,
                                random_);
 }
