--- a/test/route_node/deployment.cc
+++ b/test/route_node/deployment.cc
@@ -45,7 +45,7 @@
 }  // namespace
 
 RouteDeployment::RouteDeployment(const RouteDeploymentOptions& options)
-    : read_priority_(options.read_priority),
+    : options_(options),
       node_output_(options.has_proxies || options.keeps_logs
                        ? bench::StandardOutput::kLog
                        : bench::StandardOutput::kPipe) {
@@ -100,6 +100,8 @@
   options.reports = host.reports;
   options.downstream_host =
       host.service == kCallingService ? "stock.example" : "";
+  options.max_body_bytes = options_.max_body_bytes;
+  options.long_answer_bytes = options_.long_answer_bytes;
   host.backend.reset();
   host.backend = std::make_unique<platform::standin::Backend>(options);
 }
@@ -114,13 +116,13 @@
       "name: {}\navailability_zone: zone-a\nservice: {}\n"
       "backend: {}\n"
       "listen:\n  entry: {}\n  reports: {}\n  ready: {}\n  peer: {}\n"
-      "advertise: {}\nstore: {}\nshutdown_timeout: 6s\n",
+      "advertise: {}\nstore: {}\nshutdown_timeout: 6s\n{}",
       host.name, host.service,
       address_of(host.backend_proxy, host.backend_server),
       state::ToString(host.entry), state::ToString(host.reports),
       state::ToString(host.ready), state::ToString(host.peer),
       address_of(host.peer_proxy, host.peer),
-      address_of(host.store_proxy, store_.endpoint()));
+      address_of(host.store_proxy, store_.endpoint()), options_.settings);
   host.node = std::make_unique<bench::Process>(
       std::vector<std::string>{bench::BinaryDir() + "/tools/sesamespread",
                                "route-node", "--settings", settings},
@@ -129,11 +131,12 @@
 
 void RouteDeployment::PutRoutes(unsigned version, bool with_stock) {
   std::string listeners =
-      MakeListenerJson("shop", "safe", "shop", read_priority_);
+      MakeListenerJson("shop", "safe", "shop", options_.read_priority);
   if (with_stock)
-    listeners += "," +
-                 MakeListenerJson("stock", "safe", "stock", read_priority_) +
-                 "," + MakeListenerJson("orders", "unsafe", "stock", 0);
+    listeners +=
+        "," +
+        MakeListenerJson("stock", "safe", "stock", options_.read_priority) +
+        "," + MakeListenerJson("orders", "unsafe", "stock", 0);
   store_.Put(
       "op", "config",
       fmt::format(R"({{"version":"r{}","listeners":[{}],"clusters":[]}})",
--- a/test/route_node/deployment.h
+++ b/test/route_node/deployment.h
@@ -61,6 +61,11 @@
   bool keeps_logs = false;
   /// Rank of the routes to safe requests; orders have rank 0.
   unsigned read_priority = 0;
+  /// Lines that are added to the settings of each node.
+  std::string settings = {};
+  /// See platform::standin::BackendOptions.
+  std::uint64_t max_body_bytes = 1 << 20;
+  std::size_t long_answer_bytes = 0;
 };
 
 /// Backend servers of `shop` and `stock` in one zone; each request to `shop`
@@ -116,7 +121,7 @@
   std::string CollectDiagnostics();
 
  private:
-  const unsigned read_priority_;
+  const RouteDeploymentOptions options_;
   const std::string address_ = bench::ProcessLoopbackAddress();
   platform::standin::Store store_{address_};
   std::string directory_;
