Bound the memory that a node holds by one account

Request heads and bodies, unread answers, requests read ahead, link buffers and queued frames were bounded separately or not at all, and a large order was held in up to five copies. They are now charged to one account. Its bound is the setting max_held_bytes; the default is a quarter of the host's memory and at most 48 MiB. Above three quarters, large requests are received one after the other; above the bound, the largest and slowest requests and answers are given up. A refusal with 503 is made only before a request is passed on. Links and connections release the buffers of large messages.

--- a/include/sesamespread/state/route_node_settings.h
+++ b/include/sesamespread/state/route_node_settings.h
@@ -85,6 +85,9 @@
   bool bootstrap = false;
   /// Maximum number of concurrent connections of callers.
   std::uint32_t max_connections = 0;
+  /// Bound on the bytes held for callers, backend servers and other nodes; 0
+  /// for the default, which depends on the memory of the host.
+  std::uint64_t max_held_bytes = 0;
   LogLevel log_level = LogLevel::kInfo;
 
   auto operator<=>(const RouteNodeSettings&) const = default;
--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -27,6 +27,7 @@
 #include "sesamespread/transport/event_log.h"
 #include "sesamespread/transport/field_names.h"
 #include "sesamespread/transport/http_client.h"
+#include "sesamespread/transport/memory_account.h"
 #include "sesamespread/transport/metrics.h"
 #include "sesamespread/transport/random_seed.h"
 
@@ -44,7 +45,8 @@
                   DeadlineQueue& deadlines,
                   FieldNames fields,
                   Metrics& metrics,
-                  EventLog& log);
+                  EventLog& log,
+                  MemoryAccount* memory = nullptr);
   ~BackendExecutor() override;
 
   BackendExecutor(const BackendExecutor&) = delete;
@@ -154,6 +156,8 @@
     std::uint32_t calls_made = 0;
     // Set at the start.
     coordination::RequestContent content = 0;
+    // The body of `request`, also while the HTTP client holds it.
+    std::optional<MemoryAccount::Charge> charge;
   };
 
   // A call whose connection ended before the answer.
@@ -200,6 +204,7 @@
   const FieldNames fields_;
   Metrics& metrics_;
   EventLog& log_;
+  MemoryAccount* const memory_;
   std::optional<state::BackendReport> backend_;
   // Set while new work is refused; queued calls may start until
   // queue_drain_end_.
--- a/include/sesamespread/transport/http_client.h
+++ b/include/sesamespread/transport/http_client.h
@@ -13,6 +13,7 @@
 #include "sesamespread/state/node_record.h"
 #include "sesamespread/state/time.h"
 #include "sesamespread/transport/http_message.h"
+#include "sesamespread/transport/memory_account.h"
 
 namespace sesamespread::transport {
 
@@ -26,6 +27,8 @@
   /// Largest sum of the bodies of all answers that are being received. If it is
   /// exceeded, the call with the largest body ends with kTooLarge.
   std::size_t max_received_bytes = 64 << 20;
+  /// Charged with the answers that are being received; may be null.
+  MemoryAccount* memory = nullptr;
   state::Duration connect_timeout = std::chrono::seconds(1);
   /// Connections that have been idle for this long are closed.
   state::Duration idle_timeout = std::chrono::seconds(30);
--- a/include/sesamespread/transport/http_server.h
+++ b/include/sesamespread/transport/http_server.h
@@ -16,6 +16,7 @@
 #include "sesamespread/state/result_code.h"
 #include "sesamespread/state/time.h"
 #include "sesamespread/transport/http_message.h"
+#include "sesamespread/transport/memory_account.h"
 
 namespace sesamespread::transport {
 
@@ -30,6 +31,8 @@
   /// Largest sum of the unsent bytes of all answers. If it is exceeded, the
   /// connection whose caller has not read for the longest time is reset.
   std::size_t max_unsent_bytes = 64 << 20;
+  /// Charged with the memory of all connections; may be null.
+  MemoryAccount* memory = nullptr;
   /// Longest time from the first byte of a request to its last.
   state::Duration receive_timeout = std::chrono::seconds(10);
   /// Longest time without progress while an answer is written.
@@ -47,6 +50,9 @@
 
   virtual const HttpRequest& request() const = 0;
 
+  /// Moves the body out of the request, so that a large one is not held twice.
+  virtual std::string TakeBody() { return request().body; }
+
   /// IP address of the other end of the connection; empty if unknown.
   virtual std::string peer_address() const { return {}; }
 
--- a/include/sesamespread/transport/inbound_calls.h
+++ b/include/sesamespread/transport/inbound_calls.h
@@ -18,6 +18,7 @@
 #include "sesamespread/state/node_record.h"
 #include "sesamespread/transport/call_executor.h"
 #include "sesamespread/transport/deadline_queue.h"
+#include "sesamespread/transport/memory_account.h"
 #include "sesamespread/transport/peer_link.h"
 
 namespace sesamespread::transport {
@@ -46,7 +47,8 @@
                const state::Endpoint& endpoint,
                protocol::Hello self,
                CallExecutor& executor,
-               ControlHandler on_control);
+               ControlHandler on_control,
+               MemoryAccount* memory = nullptr);
   ~InboundCalls();
 
   InboundCalls(const InboundCalls&) = delete;
@@ -76,6 +78,7 @@
     state::CallId call_id = 0;
     std::shared_ptr<const std::string> body;
     std::size_t offset = 0;
+    std::unique_ptr<MemoryAccount::Charge> charge;
   };
 
   struct InboundLink {
@@ -98,6 +101,7 @@
   const protocol::Hello self_;
   CallExecutor& executor_;
   ControlHandler on_control_;
+  MemoryAccount* const memory_;
   std::function<std::vector<protocol::PeerMessage>()> initial_messages_;
   std::unordered_map<LinkId, InboundLink> links_;
   LinkId next_link_id_ = 1;
--- a/include/sesamespread/transport/metrics.h
+++ b/include/sesamespread/transport/metrics.h
@@ -37,6 +37,9 @@
   double store_version = 0;
   double report_age_seconds = 0;
   double log_lines_lost = 0;
+  double memory_held_bytes = 0;
+  double memory_bound_bytes = 0;
+  double memory_refusals = 0;
 };
 
 /// Counters and gauges of one node. All methods may be called on any thread.
--- a/include/sesamespread/transport/outbound_calls.h
+++ b/include/sesamespread/transport/outbound_calls.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -17,6 +18,7 @@
 #include "sesamespread/state/node_record.h"
 #include "sesamespread/transport/call_executor.h"
 #include "sesamespread/transport/deadline_queue.h"
+#include "sesamespread/transport/memory_account.h"
 #include "sesamespread/transport/peer_link.h"
 
 namespace sesamespread::transport {
@@ -72,7 +74,8 @@
   OutboundCalls(boost::asio::io_context& context,
                 DeadlineQueue& deadlines,
                 protocol::Hello self,
-                ControlHandler on_control);
+                ControlHandler on_control,
+                MemoryAccount* memory = nullptr);
   ~OutboundCalls();
 
   OutboundCalls(const OutboundCalls&) = delete;
@@ -140,6 +143,8 @@
     AnswerCallback done;
     // Set once the head of the answer has arrived.
     std::unique_ptr<protocol::CallAnswer> answer;
+    // The bytes of `answer`; set with it.
+    std::optional<MemoryAccount::Charge> charge;
   };
 
   // The link to one node, and what waits for it.
@@ -186,6 +191,8 @@
                 protocol::CallAnswer answer);
   void OnChunk(const std::shared_ptr<PeerLink>& link,
                const protocol::AnswerChunk& chunk);
+  // Ends the call of an incomplete answer, to free its memory.
+  void GiveUpAnswer(Handle handle);
   void CheckComplete(Handle handle);
   void OnDeadline(Handle handle);
   void FailCall(Handle handle,
@@ -203,6 +210,7 @@
   DeadlineQueue& deadlines_;
   const protocol::Hello self_;
   ControlHandler on_control_;
+  MemoryAccount* const memory_;
   InitialMessages initial_messages_;
   LinkObserver observer_;
   std::unordered_map<Handle, PendingCall> calls_;
--- a/include/sesamespread/transport/peer_link.h
+++ b/include/sesamespread/transport/peer_link.h
@@ -20,6 +20,7 @@
 #include "sesamespread/state/node_record.h"
 #include "sesamespread/state/time.h"
 #include "sesamespread/transport/frame_compression.h"
+#include "sesamespread/transport/memory_account.h"
 
 namespace sesamespread::transport {
 
@@ -45,6 +46,12 @@
 
   explicit PeerLink(boost::asio::ip::tcp::socket socket);
 
+  /// Sets the account that is charged with the buffers of the link; null for
+  /// none. Called before Start.
+  void SetMemory(MemoryAccount* memory) {
+    charge_ = std::make_unique<MemoryAccount::Charge>(memory);
+  }
+
   /// Starts to read. \p on_closed runs once, never inside Send or Close.
   void Start(MessageHandler on_message, ClosedHandler on_closed);
 
@@ -95,6 +102,12 @@
   bool OnPayload(std::span<const std::uint8_t> payload, bool is_compressed);
   void WriteNext();
   std::string CompressFrame(std::string_view frame);
+  // Makes room for the rest of a frame of \p frame bytes, by doubling: most of
+  // the frame may never arrive.
+  void GrowReadBuffer(std::size_t frame);
+  // Frees the buffers of a large frame that was handled.
+  void ReleaseLargeBuffers();
+  void UpdateCharge();
 
   boost::asio::ip::tcp::socket socket_;
   MessageHandler on_message_;
@@ -115,6 +128,8 @@
   std::vector<std::string> writing_;
   // Sum of the sizes of queue_ and writing_.
   std::size_t queued_bytes_ = 0;
+  // The buffers and the queue; null without an account.
+  std::unique_ptr<MemoryAccount::Charge> charge_;
   std::uint64_t added_bytes_ = 0;
   // Counts the bytes of writing_ as written until the write has ended.
   std::uint64_t max_written_bytes_ = 0;
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -477,7 +477,13 @@
 }  // namespace
 
 std::string EncodeFrame(const PeerMessage& message) {
-  FlatBufferBuilder builder(1024);
+  constexpr std::size_t kTypicalBytes = 1024;
+  // The builder would otherwise allocate a large body twice.
+  const auto* call = std::get_if<CallRequest>(&message);
+  const bool is_large = call && call->body.size() > kTypicalBytes;
+  FlatBufferBuilder builder(
+      is_large ? call->body.size() + call->body.size() / 16 + 8 * kTypicalBytes
+               : kTypicalBytes);
   const Body body = std::visit(
       [&builder](const auto& typed) { return Encode(builder, typed); },
       message);
--- a/lib/state/route_node_settings.cc
+++ b/lib/state/route_node_settings.cc
@@ -15,6 +15,7 @@
 
 constexpr std::uint64_t kMaxTimeoutUs = 600'000'000;
 constexpr std::uint64_t kMaxConnections = 1'000'000;
+constexpr std::uint64_t kMaxHeldBytes = 1ULL << 40;
 constexpr std::uint64_t kMaxQuotaSlack = 1'000'000;
 constexpr std::string_view kUnits = "ms or s";
 
@@ -75,6 +76,11 @@
      "earlier state to recover."},
     {"max_connections", kCount, "", false, "2600",
      "Connections of callers at a time.", "", 1, kMaxConnections},
+    {"max_held_bytes", kBytes, "bytes", false, "0",
+     "Memory held for callers, backend servers and other nodes. Above it, the "
+     "largest and slowest requests and answers are given up. 0: a quarter of "
+     "the host's memory, but at most 48 MiB.",
+     "", 0, kMaxHeldBytes},
     {"log", kMap, "", false, "", "Log lines on standard output."},
     {"log.level", kChoice, "", false, "info", "Lowest severity that is logged.",
      "debug|info|warning|error"},
@@ -113,6 +119,7 @@
                      reader.Count("quotas.slack")};
   settings.bootstrap = reader.Text("bootstrap") == "true";
   settings.max_connections = reader.Count("max_connections");
+  settings.max_held_bytes = reader.Number("max_held_bytes");
   settings.log_level = LevelOf(reader.Text("log.level"));
   return settings;
 }
@@ -178,6 +185,7 @@
     {"quotas.slack", NestedDiffers<kQuotas, &QuotaSettings::slack>, nullptr},
     {"bootstrap", Differs<&Settings::bootstrap>, nullptr},
     {"max_connections", Differs<&Settings::max_connections>, nullptr},
+    {"max_held_bytes", Differs<&Settings::max_held_bytes>, nullptr},
     {"log.level", Differs<&Settings::log_level>, Copy<&Settings::log_level>},
 };
 
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -74,8 +74,10 @@
 constexpr std::uint16_t kMisdirectedStatus = 421;
 constexpr std::uint16_t kFirstErrorStatus = 300;
 
-HttpClientOptions ClientOptions(const FieldNames& fields) {
+HttpClientOptions ClientOptions(const FieldNames& fields,
+                                MemoryAccount* memory) {
   HttpClientOptions options;
+  options.memory = memory;
   options.max_connections_per_endpoint = kMaxConnections;
   options.max_header_bytes = kMaxAnswerHeaderBytes;
   options.max_body_bytes = kMaxAnswerBytes;
@@ -103,13 +105,16 @@
                                  DeadlineQueue& deadlines,
                                  FieldNames fields,
                                  Metrics& metrics,
-                                 EventLog& log)
+                                 EventLog& log,
+                                 MemoryAccount* memory)
     : context_(context),
       deadlines_(deadlines),
       fields_(std::move(fields)),
       metrics_(metrics),
       log_(log),
-      http_(std::make_unique<HttpClient>(context, ClientOptions(fields_))) {}
+      memory_(memory),
+      http_(std::make_unique<HttpClient>(context,
+                                         ClientOptions(fields_, memory))) {}
 
 BackendExecutor::~BackendExecutor() {
   *alive_ = false;
@@ -217,6 +222,13 @@
     PostRefusal(handle, *refusal);
     return handle;
   }
+  if (memory_ && !memory_->Admits(call.request.body.size())) {
+    call.request.body = std::string();
+    PostRefusal(handle, ResultCode::kNodeBusy);
+    return handle;
+  }
+  call.charge.emplace(memory_);
+  call.charge->Set(call.request.body.size());
   call.content = ContentOf(call.request);
   if (MayOfferSuspect(handle, call))
     Offer(handle);
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -169,7 +169,6 @@
   protocol::CallRequest call;
   call.method = request.method;
   call.path = request.target;
-  call.body = request.body;
   call.headers.reserve(request.headers.size() + 1);
   for (const protocol::Header& header : request.headers) {
     const bool replaced = IsSameName(header.name, fields.caller) ||
@@ -201,6 +200,7 @@
       FieldOf(http.headers, options_.fields.time_budget_ms), route.timeout);
   request.deadline = request.received + std::min(budget, route.timeout);
   request.call = MakeCall(http, route);
+  request.call.body = exchange->TakeBody();
   request.call.service = splits_.Next(route).service;
   request.call.request_id = {state::HashOf(request.id), random_()};
   request.deadline_timer_id = deadlines_.Schedule(
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -194,7 +194,10 @@
     : public std::enable_shared_from_this<Connection> {
  public:
   Connection(std::shared_ptr<Impl> client, Pool* pool)
-      : client_(std::move(client)), pool_(pool), socket_(client_->context_) {}
+      : client_(std::move(client)),
+        pool_(pool),
+        socket_(client_->context_),
+        charge_(client_->options_.memory, [this] { GiveUp(); }) {}
 
   Pool* pool() const { return pool_; }
   bool connecting() const { return connecting_; }
@@ -270,6 +273,10 @@
   void DetachFromCall() {
     call_ = nullptr;
     client_->bodies_.Remove(this);
+    charge_.Set(0);
+    buffer_.consume(buffer_.size());
+    parsed_ = 0;
+    buffer_.shrink_to_fit();
     idle_since_ = Now();
     parser_.reset();
     body_ = std::string();
@@ -279,6 +286,7 @@
     closed_ = true;
     call_ = nullptr;
     client_->bodies_.Remove(this);
+    charge_.Set(0);
     error_code error;
     socket_.close(error);
   }
@@ -439,9 +447,23 @@
   void LimitBodies() {
     Connection* const largest =
         client_->bodies_.Update(this, parser_->message().body.size());
+    charge_.Set(buffer_.capacity() + parser_->held_bytes(), true,
+                std::chrono::steady_clock::now());
     AwaitReadable();
     if (largest)
       largest->Fail(HttpOutcomeKind::kTooLarge);
+    if (client_->options_.memory)
+      client_->options_.memory->Relieve();
+  }
+
+  /// Ends the call, to free the memory of its answer.
+  void GiveUp() {
+    // The account may be relieved while a callback of another call runs.
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this(), handle = call_->handle] {
+                        if (self->call_ && self->call_->handle == handle)
+                          self->Fail(HttpOutcomeKind::kTooLarge);
+                      });
   }
 
   void Complete() {
@@ -497,6 +519,8 @@
   std::string header_;
   std::string body_;
   std::size_t written_ = 0;
+  /// The answer that is being received.
+  MemoryAccount::Charge charge_;
 };
 
 HttpClient::Handle HttpClient::Impl::Send(const state::Endpoint& endpoint,
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -1,11 +1,12 @@
 /// \file
-/// HTTP/1.1 server. A read is outstanding on each connection nearly all the
-/// time, including while its request is handled, so that a closed connection is
+/// HTTP/1.1 server. It waits for input on each connection nearly all the time,
+/// including while its request is handled, so that a closed connection is
 /// detected at once. Pipelined requests wait in the read buffer and are handled
 /// one after the other. One timer checks the timeouts of all connections.
 #include "sesamespread/transport/http_server.h"
 
 #include <fmt/format.h>
+#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <array>
@@ -35,6 +36,24 @@
 constexpr std::size_t kHeaderReadBytes = 4 << 10;
 constexpr std::size_t kBodyReadBytes = 64 << 10;
 
+/// Bytes of pipelined requests that are read ahead on a connection.
+constexpr std::size_t kMaxReadAheadBytes = 16 << 10;
+
+/// Copies of a request's head while it is handled: the request, the call made
+/// from it, and the frame or the request to the backend server.
+constexpr std::size_t kHeadCopies = 3;
+
+/// Bytes of an answer in the kernel that the caller's window has no room for.
+/// The send buffer of a connection otherwise grows to megabytes, which count as
+/// memory of the host.
+constexpr int kMaxKernelUnsentBytes = 128 << 10;
+
+/// While memory is scarce, one large request is received at a time. It is given
+/// up if it makes no progress for the first time or is not complete after the
+/// second: requests that never end would otherwise stop all others.
+constexpr state::Duration kMaxReadSilence = std::chrono::milliseconds(300);
+constexpr state::Duration kMaxReadTurn = std::chrono::seconds(2);
+
 /// Lingering close: after the last answer the server continues to read for this
 /// long, because closing a socket with unread bytes resets the connection, and
 /// the caller could lose the answer.
@@ -136,6 +155,11 @@
   // Resets connections whose callers read slowly until the unsent bytes of all
   // answers are within their bound.
   void LimitUnsentBytes();
+  // Whether \p connection may read on although memory is scarce.
+  bool MayReadOn(const std::shared_ptr<Connection>& connection);
+  // Lets the paused connection read on whose request has been received for the
+  // longest time.
+  void ChooseReader();
   // Closes the connections that have been idle for the longest time, so that
   // new ones are not refused. See kFreeShareDivisor.
   void CloseSurplusIdleConnections();
@@ -153,6 +177,8 @@
   std::size_t refused_count_ = 0;
   /// Sum of unsent_bytes() of all connections.
   std::size_t unsent_bytes_ = 0;
+  /// The connection that reads a large request while memory is scarce.
+  std::weak_ptr<Connection> reader_;
   bool draining_ = false;
   bool stopping_ = false;
   bool sweep_scheduled_ = false;
@@ -163,7 +189,9 @@
     : public std::enable_shared_from_this<Connection> {
  public:
   Connection(std::shared_ptr<Impl> server, tcp::socket socket)
-      : server_(std::move(server)), socket_(std::move(socket)) {}
+      : server_(std::move(server)),
+        socket_(std::move(socket)),
+        charge_(server_->options_.memory, [this] { GiveUp(); }) {}
 
   void Start() {
     SetOptions();
@@ -199,6 +227,30 @@
       Close();
   }
 
+  /// Whether the connection waits for memory to receive the rest of its
+  /// request.
+  bool is_paused() const { return paused_ && phase_ == Phase::kReceiving; }
+
+  bool has_turn() const { return has_turn_; }
+
+  /// Starts the turn of this connection to read although memory is scarce.
+  void StartTurn() {
+    has_turn_ = true;
+    turn_started_at_ = last_read_at_ = steady_clock::now();
+  }
+
+  /// Ends an exceeded turn.
+  void CheckTurn(steady_clock::time_point now) {
+    if (has_turn_ && (now - last_read_at_ >= kMaxReadSilence ||
+                      now - turn_started_at_ >= kMaxReadTurn))
+      GiveUp();
+  }
+
+  void ResumeReading() {
+    paused_ = false;
+    StartRead();
+  }
+
   void CheckDeadline(steady_clock::time_point now) {
     if (now < deadline_)
       return;
@@ -229,6 +281,7 @@
     phase_ = Phase::kClosed;
     server_->bodies_.Remove(this);
     SetUnsentBytes(0);
+    UpdateCharge();
     error_code error;
     socket_.close(error);
     const std::function<void()> dropped = std::move(on_abandoned_);
@@ -281,6 +334,82 @@
     error_code error;
     socket_.set_option(tcp::no_delay(true), error);
     socket_.non_blocking(true, error);
+    setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+               &kMaxKernelUnsentBytes, sizeof(kMaxKernelUnsentBytes));
+  }
+
+  /// Sets the charge to the memory of this connection in its current phase.
+  void UpdateCharge() {
+    if (has_turn_ && phase_ != Phase::kReceiving) {
+      has_turn_ = false;
+      boost::asio::post(socket_.get_executor(),
+                        [server = server_] { server->ChooseReader(); });
+    }
+    const std::size_t buffered = buffer_.capacity();
+    switch (phase_) {
+      case Phase::kReceiving:
+        charge_.Set(buffered + parser_->held_bytes(), true, deadline_);
+        return;
+      case Phase::kHandling:
+        charge_.Set(buffered + request_bytes_);
+        return;
+      case Phase::kWriting:
+        charge_.Set(buffered + header_.size() + body_.size(), true, deadline_);
+        return;
+      case Phase::kIdle:
+      case Phase::kLingering:
+        charge_.Set(buffered);
+        return;
+      case Phase::kClosed:
+        charge_.Set(0);
+        return;
+    }
+  }
+
+  /// Frees the memory of this connection, because the node holds too much. A
+  /// request that is being received has not run.
+  void GiveUp() {
+    const auto self = shared_from_this();
+    if (phase_ == Phase::kReceiving) {
+      SendProblem(state::ResultCode::kNodeBusy,
+                  "too many bytes are held for requests and answers");
+    } else if (phase_ == Phase::kWriting) {
+      Reset();
+    }
+  }
+
+  void Relieve() {
+    if (server_->options_.memory)
+      server_->options_.memory->Relieve();
+  }
+
+  bool IsMemoryHigh() const {
+    return server_->options_.memory && server_->options_.memory->is_high();
+  }
+
+  /// Waits with the rest of a large request until less memory is held.
+  void PauseReading() {
+    paused_ = true;
+    if (std::exchange(awaits_memory_, true))
+      return;
+    server_->options_.memory->WhenLow([weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (!self)
+        return;
+      boost::asio::post(self->socket_.get_executor(), [self] {
+        self->awaits_memory_ = false;
+        self->ResumeReading();
+      });
+    });
+  }
+
+  /// Removes the parsed bytes and frees the memory behind the others.
+  void TrimBuffer() {
+    buffer_.consume(phase_ == Phase::kLingering ? buffer_.size() : parsed_);
+    parsed_ = 0;
+    if (buffer_.capacity() - buffer_.size() >= kHeaderReadBytes)
+      buffer_.shrink_to_fit();
+    UpdateCharge();
   }
 
   std::string_view Unparsed() const {
@@ -292,31 +421,46 @@
   void StartRead() {
     if (reading_ || end_of_input_ || phase_ == Phase::kClosed)
       return;
-    // Pipelined requests are buffered up to the size limit of one header.
+    TrimBuffer();
     const bool busy = phase_ == Phase::kHandling || phase_ == Phase::kWriting;
-    if (busy && Unparsed().size() >= server_->options_.max_header_bytes)
+    const std::size_t max_read_ahead = IsMemoryHigh() ? 1 : kMaxReadAheadBytes;
+    if (busy && Unparsed().size() >= max_read_ahead)
       return;
-    buffer_.consume(phase_ == Phase::kLingering ? buffer_.size() : parsed_);
-    parsed_ = 0;
-    const bool reading_body =
-        phase_ == Phase::kReceiving && parser_->is_header_done();
+    if (phase_ == Phase::kReceiving && IsMemoryHigh() &&
+        charge_.bytes() > MemoryAccount::kSmallBytes &&
+        !server_->MayReadOn(shared_from_this())) {
+      PauseReading();
+      return;
+    }
     reading_ = true;
-    socket_.async_read_some(
-        buffer_.prepare(reading_body ? kBodyReadBytes : kHeaderReadBytes),
-        [self = shared_from_this()](const error_code& error, std::size_t size) {
-          self->OnRead(error, size);
-        });
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const error_code& error) {
+                         self->OnReadable(error);
+                       });
   }
 
-  void OnRead(const error_code& error, std::size_t size) {
+  void OnReadable(error_code error) {
     reading_ = false;
     if (phase_ == Phase::kClosed)
       return;
+    const bool reading_body =
+        phase_ == Phase::kReceiving && parser_->is_header_done();
+    std::size_t size = 0;
+    if (!error) {
+      size = socket_.read_some(
+          buffer_.prepare(reading_body ? kBodyReadBytes : kHeaderReadBytes),
+          error);
+    }
+    if (error == boost::asio::error::would_block) {
+      StartRead();
+      return;
+    }
     if (error) {
       OnReadError(error);
       return;
     }
     buffer_.commit(size);
+    last_read_at_ = steady_clock::now();
     if (phase_ == Phase::kLingering) {
       lingered_bytes_ += size;
       if (lingered_bytes_ > kMaxLingerBytes) {
@@ -370,13 +514,34 @@
     if (status == wire::ParseStatus::kNeedMore) {
       SendContinueIfExpected();
       LimitBodies();
+      UpdateCharge();
+      Relieve();
       return;
     }
     if (status != wire::ParseStatus::kDone) {
       SendProblem(ResultCodeOf(status), parser_->detail());
       return;
     }
-    DispatchRequest();
+    if (ReserveMemory())
+      DispatchRequest();
+  }
+
+  /// Charges the memory that the handling of the complete request takes.
+  /// \returns false if the request was refused for it.
+  bool ReserveMemory() {
+    request_bytes_ =
+        parser_->held_bytes() + (kHeadCopies - 1) * parser_->header_bytes();
+    if (!server_->options_.memory)
+      return true;
+    charge_.Set(buffer_.capacity() + request_bytes_, true, deadline_);
+    Relieve();
+    if (phase_ != Phase::kReceiving)
+      return false;
+    charge_.Set(buffer_.capacity());
+    if (server_->options_.memory->Admits(request_bytes_))
+      return true;
+    GiveUp();
+    return false;
   }
 
   /// Refuses the largest request if the bodies of all connections together have
@@ -441,7 +606,9 @@
     phase_ = Phase::kWriting;
     Write();
     SetUnsentBytes(header_.size() + body_.size());
+    UpdateCharge();
     server_->LimitUnsentBytes();
+    Relieve();
   }
 
   void SetUnsentBytes(std::size_t bytes) {
@@ -478,6 +645,7 @@
     SetUnsentBytes(header_.size() + body_.size() - written_);
     if (unsent_bytes_ > 0) {
       Write();
+      UpdateCharge();
       return;
     }
     body_ = std::string();
@@ -514,11 +682,19 @@
   tcp::socket socket_;
   Phase phase_ = Phase::kIdle;
   steady_clock::time_point deadline_ = kNoDeadline;
-  /// Not modified while a read is outstanding, because the read writes into it.
   /// The first `parsed_` bytes are removed before the next read.
   boost::beast::flat_buffer buffer_;
   std::size_t parsed_ = 0;
+  /// True while StartRead() waits for input.
   bool reading_ = false;
+  /// True from PauseReading() to ResumeReading().
+  bool paused_ = false;
+  /// True while the account has a callback of this connection.
+  bool awaits_memory_ = false;
+  /// Set from StartTurn() until the request is complete or given up.
+  bool has_turn_ = false;
+  steady_clock::time_point turn_started_at_;
+  steady_clock::time_point last_read_at_;
   /// No more bytes will be read, because of an error or because the caller has
   /// closed its end.
   bool end_of_input_ = false;
@@ -540,6 +716,9 @@
   std::size_t written_ = 0;
   std::size_t unsent_bytes_ = 0;
   std::size_t lingered_bytes_ = 0;
+  /// Estimate for the request that is being handled.
+  std::size_t request_bytes_ = 0;
+  MemoryAccount::Charge charge_;
 };
 
 /// A request that is being handled.
@@ -557,6 +736,7 @@
   Exchange& operator=(const Exchange&) = delete;
 
   const HttpRequest& request() const override { return request_; }
+  std::string TakeBody() override { return std::exchange(request_.body, {}); }
 
   std::string peer_address() const override {
     return connection_->peer_address();
@@ -577,7 +757,7 @@
  private:
   const std::shared_ptr<Connection> connection_;
   const std::uint64_t number_;
-  const HttpRequest request_;
+  HttpRequest request_;
 };
 
 void HttpServer::Impl::Connection::DispatchRequest() {
@@ -589,6 +769,7 @@
   is_http_1_0_ = parser_->version() == 10;
   HttpRequest request = std::move(parser_->message());
   is_head_request_ = request.method == "HEAD";
+  UpdateCharge();
   server_->handler_(std::make_shared<Exchange>(
       shared_from_this(), exchange_number_, std::move(request)));
 }
@@ -660,10 +841,33 @@
       connections_.begin(), connections_.end());
   for (const auto& connection : connections)
     connection->CheckDeadline(now);
+  if (const auto reader = reader_.lock())
+    reader->CheckTurn(now);
   CloseSurplusIdleConnections();
   ScheduleSweep();
 }
 
+bool HttpServer::Impl::MayReadOn(
+    const std::shared_ptr<Connection>& connection) {
+  const auto reader = reader_.lock();
+  if (reader && reader->has_turn())
+    return reader == connection;
+  reader_ = connection;
+  connection->StartTurn();
+  return true;
+}
+
+void HttpServer::Impl::ChooseReader() {
+  std::shared_ptr<Connection> oldest;
+  for (const auto& connection : connections_) {
+    if (connection->is_paused() &&
+        (!oldest || connection->deadline() < oldest->deadline()))
+      oldest = connection;
+  }
+  if (oldest)
+    oldest->ResumeReading();
+}
+
 void HttpServer::Impl::LimitUnsentBytes() {
   while (unsent_bytes_ > options_.max_unsent_bytes) {
     // The deadline of an answer is the time of its last progress plus a
--- a/lib/transport/http_wire.h
+++ b/lib/transport/http_wire.h
@@ -87,6 +87,12 @@
 
   Message& message() { return message_; }
 
+  std::size_t header_bytes() const { return header_bytes_; }
+  /// Bytes of the message so far.
+  std::size_t held_bytes() const {
+    return header_bytes_ + message_.body.size();
+  }
+
   /// Why the message is malformed.
   const std::string& detail() const { return detail_; }
 
@@ -200,15 +206,21 @@
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          ErrorCode& error) override {
     // A declared length alone must not cause an allocation of max_body_bytes.
-    constexpr std::uint64_t kMaxReservedBytes = 64 << 10;
+    constexpr std::size_t kMaxReservedBytes = 64 << 10;
     error = {};
-    if (length)
-      message_.body.reserve(std::min(*length, kMaxReservedBytes));
+    declared_bytes_ = length ? static_cast<std::size_t>(*length) : 0;
+    message_.body.reserve(
+        std::min<std::size_t>(declared_bytes_, kMaxReservedBytes));
   }
 
   std::size_t on_body_impl(StringView body, ErrorCode& error) override {
     error = {};
-    message_.body.append(body.data(), body.size());
+    std::string& whole = message_.body;
+    const std::size_t needed = whole.size() + body.size();
+    // Growth beyond the declared length would only waste memory.
+    if (needed > whole.capacity() && declared_bytes_ >= needed)
+      whole.reserve(std::min(2 * needed, declared_bytes_));
+    whole.append(body.data(), body.size());
     return body.size();
   }
 
@@ -235,6 +247,8 @@
   int host_count_ = 0;
   bool expects_continue_ = false;
   bool header_done_ = false;
+  /// Length of the body as declared in the header; 0 if it is not.
+  std::size_t declared_bytes_ = 0;
   /// Bytes of the current chunk that were not parsed.
   std::uint64_t chunk_left_ = 0;
   Message message_;
--- a/lib/transport/inbound_calls.cc
+++ b/lib/transport/inbound_calls.cc
@@ -20,11 +20,13 @@
                            const state::Endpoint& endpoint,
                            protocol::Hello self,
                            CallExecutor& executor,
-                           ControlHandler on_control)
+                           ControlHandler on_control,
+                           MemoryAccount* memory)
     : deadlines_(context),
       self_(std::move(self)),
       executor_(executor),
       on_control_(std::move(on_control)),
+      memory_(memory),
       listener_(
           context,
           endpoint,
@@ -58,6 +60,7 @@
   }
   const LinkId id = next_link_id_++;
   links_[id].link = link;
+  link->SetMemory(memory_);
   link->Start(
       [this, id, alive = alive_](protocol::PeerMessage message) {
         if (*alive)
@@ -137,6 +140,12 @@
 
 void InboundCalls::OnAnswer(LinkId id, protocol::CallAnswer answer) {
   InboundLink& link = links_.at(id);
+  if (memory_ && !memory_->Admits(answer.body.size())) {
+    // Its run state stays as it is.
+    answer.result = state::ResultCode::kAnswerTooLarge;
+    answer.detail = "too many bytes of answers are held";
+    answer.body = std::string();
+  }
   answer.body_size = answer.body.size();
   answer.body_digest = protocol::DigestOf(answer.body);
   if (answer.body.size() <= protocol::kChunkBytes) {
@@ -147,6 +156,8 @@
   stream.call_id = answer.call_id;
   stream.body = std::make_shared<const std::string>(std::move(answer.body));
   stream.offset = protocol::kChunkBytes;
+  stream.charge = std::make_unique<MemoryAccount::Charge>(memory_);
+  stream.charge->Set(stream.body->size());
   answer.body = stream.body->substr(0, protocol::kChunkBytes);
   link.link->Send(answer);
   link.streams.push_back(std::move(stream));
--- a/lib/transport/metrics.cc
+++ b/lib/transport/metrics.cc
@@ -78,6 +78,14 @@
     {"sesamespread_log_lines_lost",
      "Log lines lost because the reader was too slow",
      &NodeGauges::log_lines_lost},
+    {"sesamespread_memory_held_bytes",
+     "Memory held for callers, backend servers and other nodes",
+     &NodeGauges::memory_held_bytes},
+    {"sesamespread_memory_bound_bytes", "Bound on the memory that is held",
+     &NodeGauges::memory_bound_bytes},
+    {"sesamespread_memory_refusals",
+     "Requests refused and connections closed for lack of memory",
+     &NodeGauges::memory_refusals},
 };
 
 }  // namespace
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -35,11 +35,13 @@
 OutboundCalls::OutboundCalls(boost::asio::io_context& context,
                              DeadlineQueue& deadlines,
                              protocol::Hello self,
-                             ControlHandler on_control)
+                             ControlHandler on_control,
+                             MemoryAccount* memory)
     : context_(context),
       deadlines_(deadlines),
       self_(std::move(self)),
-      on_control_(std::move(on_control)) {
+      on_control_(std::move(on_control)),
+      memory_(memory) {
   CheckLinks();
 }
 
@@ -208,6 +210,7 @@
   session.was_ready = false;
   session.in_flight = 0;
   std::weak_ptr<PeerLink> weak = link;
+  link->SetMemory(memory_);
   link->Start(
       [this, node, weak, alive = alive_](protocol::PeerMessage message) {
         const auto locked = weak.lock();
@@ -263,12 +266,16 @@
 void OutboundCalls::SendCall(Handle handle,
                              PendingCall& call,
                              PeerSession& session) {
-  if (session.link->Send(call.request)) {
+  // Moved, because a copy of the body may be large.
+  protocol::PeerMessage message(std::move(call.request));
+  const bool is_sent = session.link->Send(message);
+  call.request = std::move(std::get<protocol::CallRequest>(message));
+  if (is_sent) {
     call.link = session.link;
     call.end_on_link = session.link->added_bytes();
     ++session.in_flight;
     // Only the id and the allotment of the request are needed from here on.
-    call.request.body.clear();
+    call.request.body = std::string();
     return;
   }
   boost::asio::post(context_, [this, handle, alive = alive_] {
@@ -368,8 +375,10 @@
              "the answer exceeds max_answer_bytes");
     return;
   }
-  found->second.answer =
-      std::make_unique<protocol::CallAnswer>(std::move(answer));
+  PendingCall& call = found->second;
+  call.answer = std::make_unique<protocol::CallAnswer>(std::move(answer));
+  call.answer->body.reserve(call.answer->body_size);
+  call.charge.emplace(memory_, [this, handle] { GiveUpAnswer(handle); });
   CheckComplete(handle);
 }
 
@@ -388,7 +397,23 @@
     return;
   }
   body += chunk.body;
+  found->second.charge->Set(body.size(), true,
+                            std::chrono::steady_clock::now());
   CheckComplete(chunk.call_id);
+  if (memory_)
+    memory_->Relieve();
+}
+
+void OutboundCalls::GiveUpAnswer(Handle handle) {
+  PendingCall& call = calls_.at(handle);
+  call.answer->body = std::string();
+  call.link->Send(protocol::Cancel{handle});
+  // The account may be relieved while a callback of another call runs.
+  boost::asio::post(context_, [this, handle, alive = alive_] {
+    if (*alive)
+      FailCall(handle, state::ResultCode::kAnswerTooLarge,
+               state::RunState::kRan, "too many bytes of answers are held");
+  });
 }
 
 void OutboundCalls::CheckComplete(Handle handle) {
@@ -434,6 +459,8 @@
 void OutboundCalls::Finish(Handle handle, protocol::CallAnswer answer) {
   auto node = calls_.extract(handle);
   deadlines_.Cancel(node.mapped().deadline_timer_id);
+  // The answer can't be given up any more.
+  node.mapped().charge.reset();
   PeerSession& session = sessions_[node.mapped().node];
   if (node.mapped().link && session.link == node.mapped().link)
     --session.in_flight;
--- a/lib/transport/peer_link.cc
+++ b/lib/transport/peer_link.cc
@@ -57,6 +57,7 @@
   queued_bytes_ += frame.size();
   added_bytes_ += frame.size();
   queue_.push_back(std::move(frame));
+  UpdateCharge();
   if (writing_.empty())
     WriteNext();
   return true;
@@ -149,7 +150,7 @@
     }
     const std::size_t frame = protocol::kFrameHeaderBytes + size;
     if (bytes.size() < frame) {
-      read_buffer_.resize(std::max(read_buffer_.size(), read_begin_ + frame));
+      GrowReadBuffer(frame);
       break;
     }
     if (!OnPayload(bytes.subspan(protocol::kFrameHeaderBytes, size),
@@ -157,10 +158,47 @@
       return;
     read_begin_ += frame;
   }
+  ReleaseLargeBuffers();
   if (open_)
     Read();
 }
 
+void PeerLink::GrowReadBuffer(std::size_t frame) {
+  const std::size_t received = read_end_ - read_begin_;
+  if (read_buffer_.size() - read_begin_ >= frame ||
+      read_end_ < read_buffer_.size())
+    return;
+  std::vector<std::uint8_t> grown;
+  grown.reserve(std::min(frame, std::max(2 * received, kReadBytes)));
+  grown.assign(read_buffer_.begin() + static_cast<std::ptrdiff_t>(read_begin_),
+               read_buffer_.begin() + static_cast<std::ptrdiff_t>(read_end_));
+  grown.resize(grown.capacity());
+  read_buffer_ = std::move(grown);
+  read_begin_ = 0;
+  read_end_ = received;
+}
+
+void PeerLink::ReleaseLargeBuffers() {
+  if (payload_.capacity() > kReadBytes)
+    payload_ = std::vector<std::uint8_t>();
+  if (read_buffer_.size() > 2 * kReadBytes &&
+      read_end_ - read_begin_ <= kReadBytes) {
+    read_buffer_ = std::vector<std::uint8_t>(
+        read_buffer_.begin() + static_cast<std::ptrdiff_t>(read_begin_),
+        read_buffer_.begin() + static_cast<std::ptrdiff_t>(read_end_));
+    read_end_ -= read_begin_;
+    read_begin_ = 0;
+  }
+  UpdateCharge();
+}
+
+void PeerLink::UpdateCharge() {
+  if (charge_)
+    charge_->Set(open_ ? queued_bytes_ + read_buffer_.capacity() +
+                             payload_.capacity()
+                       : 0);
+}
+
 bool PeerLink::OnPayload(std::span<const std::uint8_t> payload,
                          bool is_compressed) {
   if (is_compressed) {
@@ -209,6 +247,7 @@
                       self->queued_bytes_ -= size;
                       self->max_written_bytes_ -= size - written;
                       self->writing_.clear();
+                      self->UpdateCharge();
                       if (error) {
                         self->Close(error.message());
                         return;
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -52,8 +52,10 @@
 /// Key of the document in a ConfigurationPush.
 constexpr char kDocumentEntry[] = "document";
 
-HttpServerOptions CallerServerOptions(std::size_t max_connections) {
+HttpServerOptions CallerServerOptions(std::size_t max_connections,
+                                      MemoryAccount* memory) {
   HttpServerOptions options;
+  options.memory = memory;
   options.max_connections = max_connections;
   options.max_header_bytes = kMaxCallerHeaderBytes;
   options.max_body_bytes = kMaxCallerBodyBytes;
@@ -128,7 +130,8 @@
                         deadlines_,
                         interface_.fields,
                         metrics_,
-                        log_),
+                        log_,
+                        &memory_),
       outbound_(
           context_,
           deadlines_,
@@ -138,7 +141,8 @@
                 message, [this, node](const protocol::PeerMessage& m) {
                   outbound_.SendControl(node, directory_.EndpointOf(node), m);
                 });
-          }),
+          },
+          &memory_),
       directory_(MakeOwnRecord(settings, seed_), outbound_, router_, log_),
       entry_(
           deadlines_,
@@ -152,15 +156,18 @@
       registry_(settings.backend),
       store_(interface_.open_store(context_)),
       health_client_(context_, HttpClientOptions{}),
-      inbound_(context_,
-               settings.listen.peer,
-               MakeHello(directory_.self()),
-               *this,
-               [this](const protocol::PeerMessage& message,
-                      const Reply& reply) { OnPeerMessage(message, reply); }),
+      inbound_(
+          context_,
+          settings.listen.peer,
+          MakeHello(directory_.self()),
+          *this,
+          [this](const protocol::PeerMessage& message, const Reply& reply) {
+            OnPeerMessage(message, reply);
+          },
+          &memory_),
       entry_server_(context_,
                     settings.listen.entry,
-                    CallerServerOptions(settings.max_connections),
+                    CallerServerOptions(settings.max_connections, &memory_),
                     [this](std::shared_ptr<HttpExchange> exchange) {
                       entry_.Handle(std::move(exchange), stalls_.MaxAge(Now()));
                     }),
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -35,6 +35,7 @@
 #include "sesamespread/transport/http_client.h"
 #include "sesamespread/transport/http_server.h"
 #include "sesamespread/transport/inbound_calls.h"
+#include "sesamespread/transport/memory_account.h"
 #include "sesamespread/transport/metrics.h"
 #include "sesamespread/transport/node_directory.h"
 #include "sesamespread/transport/outbound_calls.h"
@@ -198,6 +199,8 @@
   const PlatformInterface interface_;
   const std::uint64_t seed_ = RandomSeed();
   std::mt19937_64 random_{seed_};
+  // Outlives the connections and links, which the context owns.
+  MemoryAccount memory_{MemoryBound(settings_.max_held_bytes)};
   boost::asio::io_context context_{1};
   Metrics metrics_;
   EventLog log_;
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -87,6 +87,9 @@
       static_cast<double>(document_watch_.position().version);
   gauges.report_age_seconds =
       age(std::max(registry_.reported_at(), started_at_));
+  gauges.memory_held_bytes = static_cast<double>(memory_.held());
+  gauges.memory_bound_bytes = static_cast<double>(memory_.bound());
+  gauges.memory_refusals = static_cast<double>(memory_.refusals());
   gauges.log_lines_lost = static_cast<double>(log_.lost_line_count());
   return gauges;
 }
--- a/test/route_node/hard_load_test.cc
+++ b/test/route_node/hard_load_test.cc
@@ -239,8 +239,9 @@
     return error && error != boost::asio::error::would_block;
   }
 
-  RouteDeployment deployment_{
-      {.max_body_bytes = 8 << 20, .long_answer_bytes = kLongAnswerBytes}};
+  RouteDeployment deployment_{{.settings = "max_held_bytes: 33554432\n",
+                               .max_body_bytes = 8 << 20,
+                               .long_answer_bytes = kLongAnswerBytes}};
   boost::asio::io_context context_;
   int ordinary_requests_ = 0;
 };
--- a/tools/sesamespread/route_node.cc
+++ b/tools/sesamespread/route_node.cc
@@ -2,6 +2,7 @@
 /// The verb `route-node`: runs the node beside a backend server on the platform
 /// of the customers.
 #include <fmt/format.h>
+#include <malloc.h>
 
 #include <string>
 
@@ -19,6 +20,11 @@
     "  sesamespread route-node --settings route-node.yaml --check-only\n"
     "SIGTERM or SIGINT stops it gracefully.\n";
 
+/// Blocks from this size on are mapped, and returned to the system when they
+/// are freed. By default, the allocator raises its threshold to the size of
+/// freed blocks, and bodies of megabytes then fragment the heap for good.
+constexpr int kMapThresholdBytes = 128 << 10;
+
 int RunWith(const Command& command) {
   const std::string path = command.Require("settings");
   const state::RouteNodeSettings settings =
@@ -27,6 +33,7 @@
     fmt::print("{}: valid\n", path);
     return kExitOk;
   }
+  mallopt(M_MMAP_THRESHOLD, kMapThresholdBytes);
   transport::RouteNode node(settings, path,
                             platform::MakePlatformInterface(settings));
   node.Run();
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -343,6 +343,90 @@
 
 // An abandoned request is reported once, and a late answer to it must not be
 // sent on any connection.
+// A caller that pipelines without reading must not occupy memory for requests
+// that have to wait.
+TEST_F(HttpServerTest, BoundsTheBytesReadAhead) {
+  MemoryAccount account(1 << 20);
+  HttpServerOptions options;
+  options.memory = &account;
+  Start(options);
+  RawPeer peer = Connect();
+  peer.Send("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  std::string requests;
+  while (requests.size() < 200 << 10)
+    requests += "GET /a HTTP/1.1\r\nHost: h\r\nX-F: " + std::string(1000, 'x') +
+                "\r\n\r\n";
+  peer.Send(requests);
+  EXPECT_FALSE(RunUntil(
+      context_, [&] { return account.held() > 40 << 10; },
+      std::chrono::milliseconds(300)));
+  EXPECT_GT(account.held(), 8U << 10);
+  EXPECT_EQ(requests_.size(), 1U);
+  server_.reset();
+  EXPECT_EQ(account.held(), 0U);
+}
+
+// Their caller sends them again elsewhere: they must not run.
+TEST_F(HttpServerTest, RequestsBehindAClosingAnswerDoNotRun) {
+  Start();
+  RawPeer peer = Connect();
+  peer.Send(
+      "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+      "GET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  HttpResponse response;
+  response.headers = {{"Connection", "close"}};
+  held_[0]->Respond(std::move(response));
+  EXPECT_TRUE(peer.ExpectClose());
+  EXPECT_EQ(requests_.size(), 1U);
+  EXPECT_EQ(peer.received().find("HTTP/1.1 200"), 0U);
+  EXPECT_EQ(peer.received().find("HTTP/1.1", 1), std::string::npos);
+}
+
+// Without a turn for one connection, no large request would ever be complete
+// while memory is scarce.
+TEST_F(HttpServerTest, ReceivesLargeRequestsOneAfterTheOtherIfMemoryIsScarce) {
+  constexpr std::size_t kBodyBytes = 300 << 10;
+  MemoryAccount account(1 << 20);
+  HttpServerOptions options;
+  options.memory = &account;
+  Start(options);
+  std::vector<RawPeer> peers;
+  for (int i = 0; i < 8; ++i) {
+    peers.push_back(Connect());
+    peers.back().Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                      std::to_string(kBodyBytes) + "\r\n\r\n" +
+                      std::string(kBodyBytes / 2, 'x'));
+  }
+  ASSERT_TRUE(RunUntil(context_, [&] { return account.is_high(); }));
+  for (RawPeer& peer : peers)
+    peer.Send(std::string(kBodyBytes / 2, 'x'));
+  EXPECT_TRUE(RunUntil(context_, [&] { return requests_.size() >= 4; }));
+}
+
+// Only the largest requests are refused, and truly: they do not run.
+TEST_F(HttpServerTest, RefusesALargeRequestAndServesASmallOneWithoutMemory) {
+  MemoryAccount account(256 << 10);
+  HttpServerOptions options;
+  options.memory = &account;
+  Start(options);
+  const std::string body(200 << 10, 'x');
+  const std::string request =
+      " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+  RawPeer first = Connect();
+  first.Send("POST /hold" + request);
+  ASSERT_TRUE(RunUntil(context_, [&] { return held_.size() == 1; }));
+  ExpectProblem("POST /a" + request, 503, 200);
+  EXPECT_EQ(requests_.size(), 1U);
+  EXPECT_GT(account.refusals(), 0U);
+  RawPeer small = Connect();
+  small.Send(kGet);
+  EXPECT_TRUE(small.Expect("/a"));
+}
+
 TEST_F(HttpServerTest, ReportsAnAbandonedRequestOnce) {
   Start();
   RawPeer peer = Connect();
--- a/unittests/transport/peer_calls_test.cc
+++ b/unittests/transport/peer_calls_test.cc
@@ -99,6 +99,8 @@
     return condition();
   }
 
+  MemoryAccount callee_memory_{64 << 20};
+  MemoryAccount caller_memory_{64 << 20};
   boost::asio::io_context context_{1};
   DeadlineQueue deadlines_{context_};
   FakeExecutor executor_;
@@ -106,9 +108,11 @@
                         {"127.0.0.1", 0},
                         protocol::Hello{kExecutingNode, 1, "callee"},
                         executor_,
-                        [](protocol::PeerMessage, const auto&) {}};
+                        [](protocol::PeerMessage, const auto&) {},
+                        &callee_memory_};
   OutboundCalls outbound_{context_, deadlines_, protocol::Hello{9, 1, "caller"},
-                          [](state::NodeId, protocol::PeerMessage) {}};
+                          [](state::NodeId, protocol::PeerMessage) {},
+                          &caller_memory_};
   std::map<std::string, protocol::CallAnswer> answers_;
   std::vector<std::string> order_;
 };
@@ -141,6 +145,44 @@
 
 // Guards against an answer for a call whose deadline has passed; the call must
 // be cancelled at the executing node.
+// A link that keeps a buffer of the size of its largest frame takes a node with
+// many links over the memory of its host.
+TEST_F(PeerCallsTest, LinksReleaseTheBuffersOfLargeFrames) {
+  constexpr std::size_t kSmallLinkBytes = 64 << 10;
+  protocol::CallRequest request = MakeRequest("/large");
+  request.body = std::string(6 << 20, 'o');
+  outbound_.Call(kExecutingNode, {"127.0.0.1", inbound_.port()},
+                 std::move(request), Now() + std::chrono::seconds(5),
+                 kMaxAnswer, [this](protocol::CallAnswer answer) {
+                   answers_["/large"] = std::move(answer);
+                 });
+  ASSERT_TRUE(RunUntil([&] { return executor_.waiting() == 1; }));
+  EXPECT_TRUE(
+      RunUntil([&] { return callee_memory_.held() < kSmallLinkBytes; }));
+  EXPECT_TRUE(
+      RunUntil([&] { return caller_memory_.held() < kSmallLinkBytes; }));
+  executor_.Answer("/large", std::string(8 << 20, 'p'));
+  ASSERT_TRUE(RunUntil([&] { return answers_.size() == 1; }));
+  EXPECT_EQ(answers_["/large"].body.size(), 8U << 20);
+  EXPECT_LT(callee_memory_.held(), kSmallLinkBytes);
+  EXPECT_LT(caller_memory_.held(), kSmallLinkBytes);
+}
+
+// An answer that can't be held must end its call with a true statement, and its
+// charge must not outlive it.
+TEST_F(PeerCallsTest, AnAnswerWithoutMemoryEndsItsCall) {
+  MemoryAccount::Charge other(&caller_memory_);
+  other.Set(60 << 20);
+  Call("/large");
+  ASSERT_TRUE(RunUntil([&] { return executor_.waiting() == 1; }));
+  executor_.Answer("/large", std::string(8 << 20, 'p'));
+  ASSERT_TRUE(RunUntil([&] { return answers_.size() == 1; }));
+  EXPECT_EQ(answers_["/large"].result, ResultCode::kAnswerTooLarge);
+  EXPECT_EQ(answers_["/large"].run_state, RunState::kRan);
+  EXPECT_LT(caller_memory_.held(), (60U << 20) + (1U << 20));
+  EXPECT_EQ(caller_memory_.refusals(), 1U);
+}
+
 TEST_F(PeerCallsTest, LateAnswerIsDropped) {
   Call("/late", std::chrono::milliseconds(30));
   ASSERT_TRUE(RunUntil([&] { return answers_.size() == 1; }));
