Choose servers by expected completion from reports in answers

Each node judged servers by its own answer times only. A node that rarely calls a service has no recent ones, and none sees that a server is slower for a moment; servers are overloaded in turn while others idle.

- The router compares three servers by expected wait plus work time.
Its own calls count exactly.
- The first placement of a request is refused by a server that is 1.5 times slower now than on average; later ones are accepted.
- Calls spill to another zone if the expected completion in their own is 1.5 times as long.
Refusals of full servers no longer cause a spill by themselves where load is reported.
- Without reports of work times the choice is as before.

--- a/include/sesamespread/coordination/routing.h
+++ b/include/sesamespread/coordination/routing.h
@@ -22,7 +22,8 @@
 namespace sesamespread::coordination {
 
 /// Load that a server reported with an answer. It may be stale or wrong, so it
-/// changes the cost of a server by a bounded factor and never excludes it.
+/// never excludes a server. Without a work time it changes the cost by a
+/// bounded factor only.
 struct LoadHint {
   std::uint32_t in_progress = 0;
   /// Concurrency limit; 0 if the server reported none.
@@ -30,6 +31,12 @@
   /// Admission threshold, see state::PriorityOf.
   std::uint32_t threshold = 0;
   state::BackendState backend_state = state::BackendState::kAbsent;
+  /// Calls that wait at the server.
+  std::uint32_t queued = 0;
+  /// Usual time of a call at the server, without waiting; zero if the server
+  /// reported none. A call takes work_factor_percent of it now.
+  state::Duration work_time{0};
+  std::uint32_t work_factor_percent = 100;
 
   auto operator<=>(const LoadHint&) const = default;
 };
@@ -76,6 +83,21 @@
   /// raises the cost.
   state::Duration hint_max_age = std::chrono::seconds(1);
   double hint_max_factor = 1.5;
+  /// Servers that are compared by expected completion, if they report work
+  /// times.
+  std::uint32_t candidates = 3;
+  /// The expected work time is raised by this factor times a power of the share
+  /// of the server's limit that is in use. Without it, all nodes choose the
+  /// fastest servers until calls wait there.
+  double congestion_cost = 5;
+  double congestion_power = 4;
+  /// Time constants with which reported load moves to the mean of the service,
+  /// and the reported work factor to 1.
+  state::Duration load_decay = std::chrono::milliseconds(150);
+  state::Duration work_factor_decay = std::chrono::milliseconds(300);
+  /// Ratio of the expected completions in the local zone and elsewhere above
+  /// which calls start to spill. At twice this ratio all of them do.
+  double spill_cost_ratio = 1.5;
   /// The weight of a kStarting server grows linearly from cold_start_weight to
   /// 1 over cold_start_ramp.
   double cold_start_weight = 0.1;
@@ -207,6 +229,11 @@
                   const LoadHint& hint,
                   state::Instant now);
 
+  /// Records a report of load that came without an answer.
+  void OnLoadReport(state::NodeId node,
+                    const LoadHint& hint,
+                    state::Instant now);
+
   /// Records that no complete answer arrived: connect failed, link lost, timed
   /// out.
   void OnFailed(state::NodeId node,
@@ -257,12 +284,28 @@
     state::Instant starting_since{};
     LoadHint hint;
     std::optional<state::Instant> hint_at;
+    /// Calls sent since hint_at.
+    std::uint32_t sent_since_hint = 0;
   };
 
   struct ServiceEntry {
     std::vector<state::NodeId> subset;
     double median_us = 0;
     std::optional<state::Instant> median_at;
+    /// Over the servers that report work times: the mean of the calls there
+    /// relative to the limit, the mean limit, and the median work time; zero if
+    /// there are none.
+    double mean_load = 0;
+    double limit = 0;
+    double work_time_us = 0;
+  };
+
+  /// What a new call meets at a server, from an aged report.
+  struct Expectation {
+    double work_us = 0;
+    double calls = 0;
+    double limit = 1;
+    double wait_us = 0;
   };
 
   /// Groups of servers in the order in which they are tried.
@@ -292,6 +335,19 @@
   double CostOf(const Server& server,
                 double median_us,
                 state::Instant now) const;
+  bool ReportsWorkTime(const Server& server) const;
+  Expectation Expect(const Server& server, state::Instant now) const;
+  /// Expected time to the answer, with the penalties for refusals and failures.
+  double CompletionOf(const Server& server,
+                      double median_us,
+                      state::Instant now) const;
+  double CostByCompletion(const Server& server,
+                          double median_us,
+                          state::Instant now) const;
+  double PenaltyOf(const Server& server,
+                   double median_us,
+                   state::Instant now) const;
+  void UpdateReportedMeans(ServiceEntry& service) const;
   /// Share of calls that should spill to other zones because of the load of
   /// \p server, 0 to 1.
   double SpillShareOf(const Server& server,
--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -51,6 +51,15 @@
   double gain = 0.1;
   /// Service time assumed before the first answer.
   state::Duration initial_service_time = std::chrono::milliseconds(30);
+  /// Weight of one answer in the average of the usual work time, which is
+  /// reported to callers. It is small, since one work of 7 times the mean would
+  /// make a server look slow.
+  double usual_time_gain = 0.02;
+  /// Weight of one report in the mean of the reported work times; a server
+  /// answers 50 to 100 calls per second.
+  double work_factor_gain = 0.005;
+  /// Age up to which a reported work time is used.
+  state::Duration work_time_max_age = std::chrono::milliseconds(300);
   /// Time over which OnReportedLoadAt requires all reports to show the requests
   /// of others. A node that was not scheduled handles the answers of several
   /// tens of milliseconds at once.
@@ -71,6 +80,11 @@
   std::uint32_t priority = 0;
   /// The sender tries another server if this one refuses the call.
   bool has_alternatives = false;
+  /// The sender prefers another server if calls take longer here now than this
+  /// percentage of the mean of the last seconds; 0 for no preference. Relative
+  /// to the mean, so that a server that always reports slow work is not avoided
+  /// twice.
+  std::uint32_t max_work_factor_percent = 0;
 };
 
 enum class QueueOutcome : std::uint8_t { kStart, kQueued, kRefused };
@@ -108,6 +122,10 @@
   /// Share of the slots, or of the rate limit's burst if less of it is left,
   /// that is unused; 0 to 1.
   double unused_share = 1;
+  /// Usual time of a call of this server at the backend server, and what a call
+  /// takes now, in percent of it. Zero before the first answer.
+  state::Duration work_time{0};
+  std::uint32_t work_factor_percent = 100;
 
   auto operator<=>(const QueueLoad&) const = default;
 };
@@ -162,6 +180,11 @@
   /// calls as requests of others.
   void OnReportedLoadAt(std::uint32_t requests, state::Instant now);
 
+  /// Records the work time that the backend server reports, in percent of its
+  /// usual one. Service times are averaged relative to it, so that the expected
+  /// waits follow it at once. Call it before Finish for the same answer.
+  void OnReportedWorkTime(std::uint32_t percent, state::Instant now);
+
   /// The rate limit that the backend server states. TryAcquire is called by the
   /// queue only.
   RequestRateLimit& rate_limit() { return rate_limit_; }
@@ -175,7 +198,7 @@
 
   /// Average time that calls of \p route take at the backend server; that of
   /// all calls if \p route has no answers yet.
-  state::Duration ServiceTime(std::string_view route) const;
+  state::Duration ServiceTime(std::string_view route, state::Instant now) const;
 
  private:
   struct Waiting {
@@ -190,7 +213,9 @@
   std::uint32_t ExternalOf(std::uint32_t requests) const;
   // Position in the queue: calls with an earlier value start first.
   state::Instant OrderOf(const QueuedCall& call, state::Instant now) const;
-  state::Duration SlotWaitBehind(std::size_t ahead) const;
+  state::Duration SlotWaitBehind(std::size_t ahead, state::Instant now) const;
+  // Work time now relative to the usual one.
+  double WorkFactor(state::Instant now) const;
   state::Duration ExpectedWaitBehind(std::size_t ahead,
                                      state::Instant now) const;
   // Wait that the sender of \p call accepts behind \p ahead others.
@@ -221,6 +246,13 @@
   std::size_t bound_calls_ = 0;
   // The tickets of waiting_ in the order in which they start.
   std::set<Order> order_;
+  // As reported at work_factor_at_.
+  double work_factor_ = 1;
+  std::optional<state::Instant> work_factor_at_;
+  double mean_work_factor_ = 1;
+  double usual_time_us_ = 0;
+  std::uint32_t usual_time_answers_ = 0;
+  // The averages of service times are relative to the reported work time.
   // Average over the calls of all routes.
   double service_time_us_;
   std::unordered_map<std::string, double> route_service_times_us_;
--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -71,6 +71,9 @@
   bool has_alternatives = false;
   /// True if a backend server may have ended under the request before.
   bool is_crash_suspect = false;
+  /// The receiver refuses the call if calls take longer there now than this
+  /// percentage of the mean of the last seconds; 0 for no bound.
+  std::uint32_t max_work_factor_percent = 0;
 
   auto operator<=>(const CallRequest&) const = default;
 };
@@ -114,6 +117,11 @@
   state::Duration service_time{0};
   /// Number of calls that the backend server made while it ran this one.
   std::uint32_t calls_made = 0;
+  /// Usual time of a call at the backend server without queueing delay, over
+  /// all routes and callers; zero if unknown. Calls take work_factor_percent of
+  /// it now.
+  state::Duration work_time{0};
+  std::uint32_t work_factor_percent = 100;
 
   auto operator<=>(const CallAnswer&) const = default;
 };
--- a/lib/coordination/routing.cc
+++ b/lib/coordination/routing.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace sesamespread::coordination {
@@ -328,12 +329,12 @@
 double Router::CostOf(const Server& server,
                       double median_us,
                       Instant now) const {
-  double cost = LatencyOf(server, median_us, now) *
-                (static_cast<double>(server.in_flight) + 1) /
-                WeightOf(server, now);
-  const double penalty = server.refusal_rate * options_.refusal_cost +
-                         server.failure_rate * options_.failure_cost;
-  cost += Decayed(penalty, server, now) * median_us;
+  if (ReportsWorkTime(server))
+    return CostByCompletion(server, median_us, now);
+  const double cost = LatencyOf(server, median_us, now) *
+                          (static_cast<double>(server.in_flight) + 1) /
+                          WeightOf(server, now) +
+                      PenaltyOf(server, median_us, now);
   const bool fresh = server.hint_at && server.hint.limit > 0 &&
                      now - *server.hint_at < options_.hint_max_age;
   if (!fresh)
@@ -343,6 +344,81 @@
   return cost * (1 + (options_.hint_max_factor - 1) * load);
 }
 
+bool Router::ReportsWorkTime(const Server& server) const {
+  if (server.hint_at)
+    return server.hint.work_time > state::Duration(0) && server.hint.limit > 0;
+  // A server that has not answered yet is judged by the others.
+  return server.service->work_time_us > 0;
+}
+
+Router::Expectation Router::Expect(const Server& server, Instant now) const {
+  const ServiceEntry& service = *server.service;
+  Expectation expected{service.work_time_us, service.mean_load * service.limit,
+                       service.limit};
+  double deviation = std::sqrt(expected.calls);
+  if (server.hint_at) {
+    const state::Duration age = now - *server.hint_at;
+    const double load_decay = DecayFactor(age, options_.load_decay);
+    const double factor = 1 + (server.hint.work_factor_percent / 100.0 - 1) *
+                                  DecayFactor(age, options_.work_factor_decay);
+    const auto work_us = static_cast<double>(server.hint.work_time.count());
+    expected.work_us = factor * (service.work_time_us +
+                                 (work_us - service.work_time_us) *
+                                     DecayFactor(age, options_.latency_decay));
+    expected.limit = server.hint.limit;
+    const double mean = service.mean_load * expected.limit;
+    expected.calls =
+        mean +
+        (server.hint.in_progress + server.hint.queued - mean) * load_decay;
+    deviation = std::sqrt(std::max(expected.calls, 1.0) *
+                          (1 - load_decay * load_decay));
+  }
+  expected.calls += std::min(server.sent_since_hint, server.in_flight);
+  expected.limit = std::max(expected.limit * WeightOf(server, now), 1.0);
+  // Mean number of calls ahead if the number of calls is uncertain. The
+  // logistic distribution is close to the normal one and has a simple integral.
+  // The least spread covers calls that other nodes have just sent.
+  constexpr double kMinSpread = 0.3;
+  constexpr double kSpreadPerDeviation = 0.6;
+  const double spread = std::max(kMinSpread, kSpreadPerDeviation * deviation);
+  const double excess = (expected.calls + 1 - expected.limit) / spread;
+  // Above this, log(1 + e^x) equals x and e^x may overflow.
+  constexpr double kLinearFrom = 30;
+  const double ahead =
+      spread * (excess > kLinearFrom ? excess : std::log1p(std::exp(excess)));
+  expected.wait_us = expected.work_us * ahead / expected.limit;
+  return expected;
+}
+
+double Router::PenaltyOf(const Server& server,
+                         double median_us,
+                         Instant now) const {
+  const double penalty = server.refusal_rate * options_.refusal_cost +
+                         server.failure_rate * options_.failure_cost;
+  return Decayed(penalty, server, now) * median_us;
+}
+
+double Router::CompletionOf(const Server& server,
+                            double median_us,
+                            Instant now) const {
+  const Expectation expected = Expect(server, now);
+  return expected.work_us + expected.wait_us +
+         PenaltyOf(server, median_us, now);
+}
+
+double Router::CostByCompletion(const Server& server,
+                                double median_us,
+                                Instant now) const {
+  const Expectation expected = Expect(server, now);
+  const double use = (expected.calls + 1) / expected.limit;
+  const double congestion =
+      options_.congestion_cost * std::pow(use, options_.congestion_power);
+  // The calls of this node are known exactly, whatever the age of the report.
+  return (expected.wait_us + expected.work_us * (1 + congestion)) *
+             std::sqrt(server.in_flight + 1.0) +
+         PenaltyOf(server, median_us, now);
+}
+
 double Router::SpillShareOf(const Server& server,
                             double median_us,
                             Instant now) const {
@@ -364,6 +440,7 @@
     if (server->answers > 0)
       latencies.push_back(server->latency_us);
   }
+  UpdateReportedMeans(service);
   const double median = LowerMedian(std::move(latencies));
   if (median <= 0) {
     // Not cached, because the first answer would seem slow relative to it.
@@ -374,6 +451,26 @@
   return median;
 }
 
+void Router::UpdateReportedMeans(ServiceEntry& service) const {
+  std::vector<double> work_times;
+  double load = 0;
+  double limit = 0;
+  for (const Server* server : ServersOf(service)) {
+    const LoadHint& hint = server->hint;
+    if (!server->hint_at || hint.work_time <= state::Duration(0) ||
+        hint.limit == 0)
+      continue;
+    work_times.push_back(static_cast<double>(hint.work_time.count()));
+    load += static_cast<double>(hint.in_progress + hint.queued) / hint.limit;
+    limit += hint.limit;
+  }
+  const auto count =
+      static_cast<double>(std::max<std::size_t>(work_times.size(), 1));
+  service.mean_load = load / count;
+  service.limit = limit / count;
+  service.work_time_us = LowerMedian(std::move(work_times));
+}
+
 std::vector<Router::Server*> Router::BestGroup(const ServiceEntry& service,
                                                Instant now,
                                                std::span<const NodeId> exclude,
@@ -406,6 +503,14 @@
   for (std::uint8_t distance = 0; distance < kFarthest; ++distance) {
     std::vector<Server*> near;
     double spill = 1;
+    double near_cost = std::numeric_limits<double>::max();
+    double far_cost = near_cost;
+    bool by_completion = true;
+    for (const Server* server : candidates) {
+      by_completion &= ReportsWorkTime(*server);
+      double& lowest = server->distance > distance ? far_cost : near_cost;
+      lowest = std::min(lowest, CompletionOf(*server, median_us, now));
+    }
     for (Server* server : candidates) {
       if (server->distance > distance)
         continue;
@@ -421,6 +526,9 @@
         elsewhere = std::min(elsewhere, SpillShareOf(*server, median_us, now));
     }
     spill -= elsewhere;
+    if (by_completion)
+      spill = (near_cost / far_cost - options_.spill_cost_ratio) /
+              options_.spill_cost_ratio;
     std::uniform_real_distribution<double> draw(0, 1);
     if (spill <= 0 || draw(rng) >= spill)
       return near;
@@ -441,15 +549,21 @@
   if (candidates.empty())
     return std::nullopt;
   const double median = MedianOf(found->second, now);
-  const std::vector<Server*> pool = NarrowToZone(candidates, median, now, rng);
-  std::uniform_int_distribution<std::size_t> draw(0, pool.size() - 1);
-  Server* chosen = pool[draw(rng)];
-  if (pool.size() > 1) {
-    Server* other = chosen;
-    while (other == chosen)
-      other = pool[draw(rng)];
-    if (CostOf(*other, median, now) < CostOf(*chosen, median, now))
-      chosen = other;
+  std::vector<Server*> pool = NarrowToZone(candidates, median, now, rng);
+  // Without reports of work times, two are compared: the more are, the more
+  // nodes choose the same server.
+  const std::size_t wanted =
+      found->second.work_time_us > 0 ? options_.candidates : 2;
+  Server* chosen = nullptr;
+  double lowest = 0;
+  for (std::size_t i = 0; i < wanted && i < pool.size(); ++i) {
+    std::uniform_int_distribution<std::size_t> draw(i, pool.size() - 1);
+    std::swap(pool[i], pool[draw(rng)]);
+    const double cost = CostOf(*pool[i], median, now);
+    if (chosen == nullptr || cost < lowest) {
+      chosen = pool[i];
+      lowest = cost;
+    }
   }
   if (chosen->connect_failures > 0)
     chosen->probe_sent = now;
@@ -458,8 +572,20 @@
 }
 
 void Router::OnSent(NodeId node, Instant /*now*/) {
-  if (Server* server = Find(node))
-    ++server->in_flight;
+  Server* server = Find(node);
+  if (server == nullptr)
+    return;
+  ++server->in_flight;
+  ++server->sent_since_hint;
+}
+
+void Router::OnLoadReport(NodeId node, const LoadHint& hint, Instant now) {
+  Server* server = Find(node);
+  if (server == nullptr)
+    return;
+  server->hint = hint;
+  server->hint_at = now;
+  server->sent_since_hint = 0;
 }
 
 void Router::OnAnswered(NodeId node,
@@ -477,6 +603,7 @@
   server->last_answer = now;
   server->hint = hint;
   server->hint_at = now;
+  server->sent_since_hint = 0;
   if (result == ResultCode::kLeaving ||
       hint.backend_state == BackendState::kLeaving) {
     server->backend_state = BackendState::kLeaving;
@@ -490,6 +617,9 @@
       CountLatency(*server, latency, now);
       return;
     case OutcomeClass::kRefusal:
+      // The reported load tells that the server is full.
+      if (result == ResultCode::kQueueFull && ReportsWorkTime(*server))
+        return;
       // Refusals are not counted in the latency, because the server that
       // refuses fastest would then attract calls.
       UpdateRates(*server, true, false, now);
--- a/lib/coordination/server_queue.cc
+++ b/lib/coordination/server_queue.cc
@@ -77,15 +77,16 @@
   return now + FromMicros(to_goal * options_.goal_factors.at(rank));
 }
 
-Duration ServerQueue::SlotWaitBehind(std::size_t ahead) const {
+Duration ServerQueue::SlotWaitBehind(std::size_t ahead, Instant now) const {
   if (in_progress_ < limit())
     return Duration(0);
-  return FromMicros(service_time_us_ * static_cast<double>(ahead + 1) /
-                    limit());
+  return FromMicros(service_time_us_ * WorkFactor(now) *
+                    static_cast<double>(ahead + 1) / limit());
 }
 
 Duration ServerQueue::ExpectedWaitBehind(std::size_t ahead, Instant now) const {
-  return std::max(SlotWaitBehind(ahead), rate_limit_.WaitBehind(ahead, now));
+  return std::max(SlotWaitBehind(ahead, now),
+                  rate_limit_.WaitBehind(ahead, now));
 }
 
 Duration ServerQueue::AcceptedWait(const QueuedCall& call,
@@ -102,14 +103,31 @@
       std::distance(order_.begin(), order_.lower_bound({order, 0})));
 }
 
-Duration ServerQueue::ServiceTime(std::string_view route) const {
+Duration ServerQueue::ServiceTime(std::string_view route, Instant now) const {
   const auto found = route_service_times_us_.find(std::string(route));
-  return FromMicros(found == route_service_times_us_.end() ? service_time_us_
-                                                           : found->second);
+  return FromMicros(WorkFactor(now) * (found == route_service_times_us_.end()
+                                           ? service_time_us_
+                                           : found->second));
+}
+
+void ServerQueue::OnReportedWorkTime(std::uint32_t percent, Instant now) {
+  // Beyond these bounds a report is taken for wrong.
+  constexpr double kMinFactor = 0.1;
+  constexpr double kMaxFactor = 10;
+  work_factor_ = std::clamp(percent / 100.0, kMinFactor, kMaxFactor);
+  work_factor_at_ = now;
+  mean_work_factor_ +=
+      options_.work_factor_gain * (work_factor_ - mean_work_factor_);
+}
+
+double ServerQueue::WorkFactor(Instant now) const {
+  const bool is_fresh =
+      work_factor_at_ && now - *work_factor_at_ <= options_.work_time_max_age;
+  return is_fresh ? work_factor_ : 1;
 }
 
 bool ServerQueue::IsTooLate(const QueuedCall& call, Instant now) const {
-  return now + ServiceTime(call.route) / 2 >= call.deadline;
+  return now + ServiceTime(call.route, now) / 2 >= call.deadline;
 }
 
 QueueDecision ServerQueue::Offer(const QueuedCall& call, Instant now) {
@@ -119,6 +137,13 @@
     decision.code = ResultCode::kDeadlineBeforeStart;
     return decision;
   }
+  if (call.max_work_factor_percent > 0 &&
+      WorkFactor(now) * 100 >
+          mean_work_factor_ * call.max_work_factor_percent) {
+    decision.outcome = QueueOutcome::kRefused;
+    decision.code = ResultCode::kQueueFull;
+    return decision;
+  }
   // Calls that wait for the rate limit start before this one.
   if (in_progress_ < limit() && waiting_.empty() &&
       rate_limit_.TryAcquire(now)) {
@@ -127,11 +152,12 @@
   }
   const Instant order = OrderOf(call, now);
   const std::size_t ahead = CountAhead(order);
-  const Duration slot_wait = SlotWaitBehind(ahead);
+  const Duration slot_wait = SlotWaitBehind(ahead, now);
   decision.expected_wait = ExpectedWaitBehind(ahead, now);
   const bool in_time =
       decision.expected_wait <= AcceptedWait(call, ahead, now) &&
-      now + decision.expected_wait + ServiceTime(call.route) <= call.deadline;
+      now + decision.expected_wait + ServiceTime(call.route, now) <=
+          call.deadline;
   if (!in_time || waiting_.size() >= options_.max_queued) {
     decision.outcome = QueueOutcome::kRefused;
     decision.code = decision.expected_wait > slot_wait
@@ -159,7 +185,7 @@
     auto next = order_.begin();
     for (auto i = order_.begin(); i != order_.end(); ++i) {
       const QueuedCall& call = waiting_.at(i->second).call;
-      if (now + ServiceTime(call.route) <= call.goal) {
+      if (now + ServiceTime(call.route, now) <= call.goal) {
         next = i;
         break;
       }
@@ -184,7 +210,12 @@
                                  Instant now) {
   in_progress_ -= in_progress_ > 0 ? 1 : 0;
   if (answered) {
-    const auto micros = static_cast<double>(service_time.count());
+    const double micros =
+        static_cast<double>(service_time.count()) / WorkFactor(now);
+    ++usual_time_answers_;
+    usual_time_us_ +=
+        std::max(options_.usual_time_gain, 1.0 / usual_time_answers_) *
+        (micros - usual_time_us_);
     service_time_us_ += options_.gain * (micros - service_time_us_);
     const auto [entry, added] =
         route_service_times_us_.try_emplace(route, micros);
@@ -241,9 +272,13 @@
   const Duration rate_wait = bound_calls_ > 0
                                  ? rate_limit_.WaitBehind(bound_calls_, now)
                                  : Duration(0);
-  return {in_progress_, static_cast<std::uint32_t>(waiting_.size()), limit(),
-          std::max(SlotWaitBehind(waiting_.size()), rate_wait),
-          std::min(unused_slots, rate_limit_.UnusedShare(now))};
+  return {in_progress_,
+          static_cast<std::uint32_t>(waiting_.size()),
+          limit(),
+          std::max(SlotWaitBehind(waiting_.size(), now), rate_wait),
+          std::min(unused_slots, rate_limit_.UnusedShare(now)),
+          FromMicros(usual_time_us_),
+          static_cast<std::uint32_t>(std::lround(WorkFactor(now) * 100))};
 }
 
 }  // namespace sesamespread::coordination
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "peer_generated.h"
@@ -148,7 +149,7 @@
               static_cast<std::uint64_t>(message.goal_remaining.count()),
               static_cast<std::uint64_t>(message.max_wait.count()),
               message.from_backend, message.is_repeat, message.has_alternatives,
-              message.is_crash_suspect)
+              message.is_crash_suspect, message.max_work_factor_percent)
               .Union()};
 }
 
@@ -175,7 +176,11 @@
               message.configuration_version, detail, message.queued,
               static_cast<std::uint64_t>(message.expected_wait.count()),
               static_cast<std::uint64_t>(message.service_time.count()),
-              message.calls_made)
+              message.calls_made,
+              static_cast<std::uint32_t>(std::min<std::int64_t>(
+                  message.work_time.count(),
+                  std::numeric_limits<std::uint32_t>::max())),
+              message.work_factor_percent)
               .Union()};
 }
 
@@ -327,6 +332,7 @@
   message.is_repeat = body.is_repeat();
   message.has_alternatives = body.has_alternatives();
   message.is_crash_suspect = body.is_crash_suspect();
+  message.max_work_factor_percent = body.max_work_factor_percent();
   return message;
 }
 
@@ -363,6 +369,8 @@
     return std::nullopt;
   message.queued = body.queued();
   message.calls_made = body.calls_made();
+  message.work_time = state::Duration(body.work_time_us());
+  message.work_factor_percent = body.work_factor_percent();
   message.expected_wait =
       state::Duration(static_cast<std::int64_t>(body.wait_us()));
   message.service_time =
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -199,6 +199,7 @@
   queued_call.max_wait = call.request.max_wait;
   queued_call.priority = call.request.priority;
   queued_call.has_alternatives = call.request.has_alternatives;
+  queued_call.max_work_factor_percent = call.request.max_work_factor_percent;
   return queued_call;
 }
 
@@ -456,10 +457,12 @@
   }
   if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load))) {
     const std::uint32_t requests = load->running + load->waiting;
-    if (load->reports_work_time)
+    if (load->reports_work_time) {
       queue_.OnReportedLoadAt(requests, Now());
-    else
+      queue_.OnReportedWorkTime(load->work_time_percent, Now());
+    } else {
       queue_.OnReportedLoad(requests);
+    }
   }
   const bool misdirected = response.status == kMisdirectedStatus;
   // Another backend server and an earlier instance say nothing about this one.
@@ -621,6 +624,8 @@
   answer.in_progress = load.in_progress;
   answer.queued = load.queued;
   answer.limit = load.limit;
+  answer.work_time = load.work_time;
+  answer.work_factor_percent = load.work_factor_percent;
   coordination::QueuedCall following_call;
   following_call.goal = now + call.request.goal_remaining;
   following_call.priority = call.request.priority;
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -72,6 +72,11 @@
 constexpr double kCallsPerRunGain = 0.1;
 constexpr double kMinCallsOfNonLeaf = 0.5;
 
+/// A server at which calls take longer now than this percentage of the mean of
+/// the last seconds refuses the first placement of a request. Later placements
+/// are accepted, since all servers may be slow.
+constexpr std::uint32_t kMaxFirstWorkFactorPercent = 150;
+
 constexpr std::uint16_t kFirstServerError = 500;
 
 Duration Scale(Duration duration, double factor) {
@@ -424,6 +429,8 @@
   call.has_alternatives =
       !request.is_last_pass &&
       MayTryAnotherServer(request, request.outstanding.size());
+  if (number == 1 && call.has_alternatives && !call.is_crash_suspect)
+    call.max_work_factor_percent = kMaxFirstWorkFactorPercent;
   const auto done = [this, key, number,
                      alive = alive_](const protocol::CallAnswer& answer) {
     if (*alive)
@@ -517,6 +524,9 @@
   coordination::LoadHint hint;
   hint.in_progress = answer.in_progress;
   hint.limit = answer.limit;
+  hint.queued = answer.queued;
+  hint.work_time = answer.work_time;
+  hint.work_factor_percent = answer.work_factor_percent;
   hint.threshold = state::kPriorityCount;
   hint.backend_state = state::BackendState::kServing;
   router_.OnAnswered(attempt.node, RouterResultOf(answer.result),
--- a/unittests/coordination/routing_test.cc
+++ b/unittests/coordination/routing_test.cc
@@ -166,6 +166,70 @@
 
 // Guards against new calls to a server that leaves, whether its record or its
 // answer reports this first.
+LoadHint WorkTime(milliseconds work_time,
+                  std::uint32_t percent,
+                  std::uint32_t in_progress = 4) {
+  LoadHint hint{in_progress, 16, 0, BackendState::kServing};
+  hint.work_time = work_time;
+  hint.work_factor_percent = percent;
+  return hint;
+}
+
+// A server that was slow for a moment was avoided for seconds.
+TEST_F(RoutingTest, SlowMomentCountsAtOnceAndIsForgotten) {
+  SetServers({MakeServer(10, "a"), MakeServer(11, "a"), MakeServer(12, "a")});
+  for (const NodeId node : {10, 11, 12})
+    router_.OnLoadReport(node, WorkTime(milliseconds(90), 100), At(0));
+  router_.OnLoadReport(10, WorkTime(milliseconds(90), 250), At(100));
+  EXPECT_EQ(Shares(101)[10], 0);
+  for (const NodeId node : {11, 12})
+    router_.OnLoadReport(node, WorkTime(milliseconds(90), 100, 8), At(1200));
+  EXPECT_GT(Shares(1201)[10], 300);
+}
+
+// All calls went to the server whose report was the best, until the next one.
+TEST_F(RoutingTest, OwnCallsSinceTheReportCount) {
+  SetServers({MakeServer(10, "a"), MakeServer(11, "a"), MakeServer(12, "a")});
+  for (const NodeId node : {10, 11, 12}) {
+    router_.OnLoadReport(
+        node, WorkTime(milliseconds(90), 100, node == 10 ? 0 : 6), At(0));
+  }
+  std::map<NodeId, int> calls;
+  for (int i = 0; i < 30; ++i) {
+    const NodeId node = *Choose(1);
+    ++calls[node];
+    router_.OnSent(node, At(1));
+  }
+  EXPECT_GT(calls[10], 8);
+  EXPECT_GT(calls[11], 4);
+  EXPECT_GT(calls[12], 4);
+}
+
+// A server whose reported work time was once very long was never asked again.
+TEST_F(RoutingTest, OldWorkTimeIsForgotten) {
+  SetServers({MakeServer(10, "a"), MakeServer(11, "a")});
+  router_.OnLoadReport(10, WorkTime(milliseconds(900), 100), At(0));
+  router_.OnLoadReport(11, WorkTime(milliseconds(90), 100), At(0));
+  EXPECT_EQ(Shares(1)[10], 0);
+  router_.OnLoadReport(11, WorkTime(milliseconds(90), 100, 10), At(60'000));
+  EXPECT_GT(Shares(60'001)[10], 0);
+}
+
+// Refusals by full servers moved calls to other zones although the expected
+// completion there was no better.
+TEST_F(RoutingTest, SpillsByExpectedCompletion) {
+  SetServers({MakeServer(10, "a"), MakeServer(11, "b")});
+  router_.OnLoadReport(11, WorkTime(milliseconds(90), 100, 15), At(0));
+  for (int i = 0; i < 20; ++i) {
+    router_.OnSent(10, At(0));
+    router_.OnAnswered(10, ResultCode::kQueueFull, milliseconds(1),
+                       WorkTime(milliseconds(90), 100, 16), At(0));
+  }
+  EXPECT_EQ(Shares(1)[10], 1000);
+  router_.OnLoadReport(10, WorkTime(milliseconds(360), 100, 16), At(1));
+  EXPECT_LT(Shares(2)[10], 100);
+}
+
 TEST_F(RoutingTest, NeverChoosesALeavingServer) {
   SetServers({MakeServer(10, "a", BackendState::kLeaving)});
   EXPECT_EQ(Choose(1), std::nullopt);
--- a/unittests/coordination/server_queue_test.cc
+++ b/unittests/coordination/server_queue_test.cc
@@ -93,6 +93,47 @@
   EXPECT_EQ(queue_.load(At(900)).limit, 1U);
 }
 
+// Expected waits followed a change of the server's speed only after some ten
+// answers.
+TEST_F(ServerQueueTest, WaitsFollowTheReportedWorkTimeAtOnce) {
+  for (Ticket ticket = 1; ticket <= 3; ++ticket)
+    Offer(MakeCall(ticket, At(0)), 0);
+  for (int i = 0; i < 200; ++i) {
+    queue_.OnReportedWorkTime(100, At(10));
+    queue_.Finish("read", milliseconds(60), true, At(10));
+    Offer(MakeCall(static_cast<Ticket>(100 + i), At(10)), 10);
+  }
+  const Duration usual = queue_.load(At(10)).expected_wait;
+  queue_.OnReportedWorkTime(250, At(11));
+  const QueueLoad slow = queue_.load(At(11));
+  EXPECT_NEAR(static_cast<double>(slow.expected_wait.count()),
+              2.5 * static_cast<double>(usual.count()), 10);
+  EXPECT_EQ(slow.work_factor_percent, 250U);
+  EXPECT_NEAR(static_cast<double>(slow.work_time.count()), 60'000, 10);
+  // A server without answers may have changed since.
+  EXPECT_EQ(queue_.load(At(500)).work_factor_percent, 100U);
+}
+
+TEST_F(ServerQueueTest, RefusesCallsThatPreferAnotherServerWhileSlow) {
+  QueuedCall call = MakeCall(1, At(0));
+  call.max_work_factor_percent = 150;
+  queue_.OnReportedWorkTime(250, At(0));
+  const QueueDecision decision = queue_.Offer(call, At(1));
+  EXPECT_EQ(decision.outcome, QueueOutcome::kRefused);
+  EXPECT_EQ(decision.code, ResultCode::kQueueFull);
+  call.max_work_factor_percent = 0;
+  EXPECT_EQ(queue_.Offer(call, At(1)).outcome, QueueOutcome::kStart);
+}
+
+// A server that always reports slow work got no first placements.
+TEST_F(ServerQueueTest, AcceptsCallsAtAServerThatIsAlwaysSlow) {
+  for (int i = 0; i < 1000; ++i)
+    queue_.OnReportedWorkTime(250, At(i));
+  QueuedCall call = MakeCall(1, At(1000));
+  call.max_work_factor_percent = 150;
+  EXPECT_EQ(queue_.Offer(call, At(1000)).outcome, QueueOutcome::kStart);
+}
+
 TEST_F(ServerQueueTest, CallsOfImportantRequestsOvertakeOthers) {
   for (Ticket ticket = 1; ticket <= 3; ++ticket)
     Offer(MakeCall(ticket, At(0)), 0);
--- a/unittests/protocol/codec_test.cc
+++ b/unittests/protocol/codec_test.cc
@@ -50,6 +50,8 @@
   answer.body = "plan";
   answer.thresholds = {{"prices", 200}};
   answer.retry_after = std::chrono::milliseconds(40);
+  answer.work_time = std::chrono::milliseconds(94);
+  answer.work_factor_percent = 250;
   const auto decoded = DecodePayload(PayloadOf(EncodeFrame(answer)));
   ASSERT_TRUE(decoded.has_value());
   EXPECT_EQ(*decoded, PeerMessage(answer));
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -158,6 +158,25 @@
   std::uint32_t sequence_ = 0;
 };
 
+// The only server refuses the first placement of a request while it is slow;
+// without a second one, requests fail although it has free slots.
+TEST_F(EntryRequestHandlerTest, RequestIsServedByTheOnlyServerWhileItIsSlow) {
+  int requests = 0;
+  backend_ = [&requests](const auto& exchange) {
+    ++requests;
+    HttpResponse response;
+    response.headers = {
+        IdOf(*exchange), {"X-Seal", "seal"}, {"X-Load", "1,0,4,250"}};
+    exchange->Respond(std::move(response));
+  };
+  for (const char* id : {"a", "b", "c"})
+    EXPECT_EQ(Await(Send("/read/1", id)).status, 200);
+  EXPECT_EQ(requests, 3);
+  const coordination::QueueLoad load = backend_executor_.load();
+  EXPECT_EQ(load.work_factor_percent, 250U);
+  EXPECT_GT(load.work_time, state::Duration(0));
+}
+
 // Guards against losing parts of a request or its answer, and against callers
 // that set fields which only nodes may set.
 TEST_F(EntryRequestHandlerTest, ForwardsARequestWithItsOwnFields) {
