--- a/include/sesamespread/coordination/server_queue.h
+++ b/include/sesamespread/coordination/server_queue.h
@@ -59,6 +59,15 @@
   /// Work is in slot-microseconds. The calls of each rank are shared
   /// separately.
   FairSharesOptions fair_shares;
+  /// Weight of one answer in the average of the usual work time, which is
+  /// reported to callers. It is small, since one work of 7 times the mean would
+  /// make a server look slow.
+  double usual_time_gain = 0.02;
+  /// Weight of one report in the mean of the reported work times; a server
+  /// answers 50 to 100 calls per second.
+  double work_factor_gain = 0.005;
+  /// Age up to which a reported work time is used.
+  state::Duration work_time_max_age = std::chrono::milliseconds(300);
   /// Time over which OnReportedLoadAt requires all reports to show the requests
   /// of others. A node that was not scheduled handles the answers of several
   /// tens of milliseconds at once.
@@ -81,6 +90,11 @@
   bool has_alternatives = false;
   /// Tenant that the call is attributed to; 0 if none.
   TenantHash tenant = 0;
+  /// The sender prefers another server if calls take longer here now than this
+  /// percentage of the mean of the last seconds; 0 for no preference. Relative
+  /// to the mean, so that a server that always reports slow work is not avoided
+  /// twice.
+  std::uint32_t max_work_factor_percent = 0;
 };
 
 enum class QueueOutcome : std::uint8_t { kStart, kQueued, kRefused };
@@ -121,6 +135,10 @@
   /// Share of the slots, or of the rate limit's burst if less of it is left,
   /// that is unused; 0 to 1.
   double unused_share = 1;
+  /// Usual time of a call of this server at the backend server, and what a call
+  /// takes now, in percent of it. Zero before the first answer.
+  state::Duration work_time{0};
+  std::uint32_t work_factor_percent = 100;
 
   auto operator<=>(const QueueLoad&) const = default;
 };
@@ -186,6 +204,11 @@
   /// calls as requests of others.
   void OnReportedLoadAt(std::uint32_t requests, state::Instant now);
 
+  /// Records the work time that the backend server reports, in percent of its
+  /// usual one. Service times are averaged relative to it, so that the expected
+  /// waits follow it at once. Call it before Finish for the same answer.
+  void OnReportedWorkTime(std::uint32_t percent, state::Instant now);
+
   /// The rate limit that the backend server states. TryAcquire is called by the
   /// queue only.
   RequestRateLimit& rate_limit() { return rate_limit_; }
@@ -199,7 +222,7 @@
 
   /// Average time that calls of \p route take at the backend server; that of
   /// all calls if \p route has no answers yet.
-  state::Duration ServiceTime(std::string_view route) const;
+  state::Duration ServiceTime(std::string_view route, state::Instant now) const;
 
  private:
   // Position in the queue: calls with a lower value start first.
@@ -271,7 +294,9 @@
   std::uint32_t ExternalOf(std::uint32_t requests) const;
   // Position in the queue: calls with an earlier value start first.
   state::Instant OrderOf(const QueuedCall& call, state::Instant now) const;
-  state::Duration SlotWaitBehind(std::size_t ahead) const;
+  state::Duration SlotWaitBehind(std::size_t ahead, state::Instant now) const;
+  // Work time now relative to the usual one.
+  double WorkFactor(state::Instant now) const;
   state::Duration ExpectedWaitBehind(std::size_t ahead,
                                      state::Instant now) const;
   // Wait that the sender of \p call accepts behind \p ahead others.
@@ -324,6 +349,13 @@
   std::unordered_map<std::string, RouteCalls> routes_;
   std::unordered_map<Ticket, Running> running_;
   std::uint64_t next_place_ = 1;
+  // As reported at work_factor_at_.
+  double work_factor_ = 1;
+  std::optional<state::Instant> work_factor_at_;
+  double mean_work_factor_ = 1;
+  double usual_time_us_ = 0;
+  std::uint32_t usual_time_answers_ = 0;
+  // The averages of service times are relative to the reported work time.
   // Average over the calls of all routes.
   double service_time_us_;
   std::unordered_map<std::string, double> route_service_times_us_;
