Test leases after a restart, expired tokens and shrinking pools of quotas

Mutations of the code (no wait after the start, tokens of 4 s, a full bucket at the start) passed the tests of many nodes. Direct tests of QuotaBorrower and QuotaPool find each of them.

--- a/unittests/coordination/quota_test.cc
+++ b/unittests/coordination/quota_test.cc
@@ -760,20 +760,20 @@
 
 // The tokens of a host that was paused are worthless when it resumes.
 TEST(QuotaTest, PausedHostSpendsNoExpiredTokens) {
-  const state::RequestQuota quota{600, 600};
-  QuotaWorld world(kHosts);
-  world.SetQuota("a", quota);
-  world.ApplyQuotas();
-  world.Offer("a", 800, {3}, kSettled, seconds(4));
-  world.RunUntil(seconds(4));
-  const std::size_t before = world.result("a").admitted.size();
-  ASSERT_GT(before, 0U);
-  world.Pause(3, milliseconds(4500));
-  world.RunUntil(milliseconds(4499));
-  const QuotaDecision decision =
-      world.borrower(3).Request(state::HashOf("a"), 1 << 30,
-                                At(milliseconds(4500)), At(milliseconds(4500)));
-  EXPECT_EQ(decision.state, QuotaState::kRefused);
+  const TenantId id = state::HashOf("a");
+  for (const bool is_expired : {false, true}) {
+    QuotaWorld world(kHosts);
+    world.SetQuota("a", {600, 600});
+    world.ApplyQuotas();
+    world.Offer("a", 300, {3}, kSettled, seconds(4));
+    world.RunUntil(seconds(4));
+    const Duration later =
+        is_expired ? QuotaOptions().token_lifetime : Duration(0);
+    const QuotaDecision decision = world.borrower(3).Request(
+        id, 1 << 30, world.now() + later + seconds(1), world.now() + later);
+    EXPECT_EQ(decision.state,
+              is_expired ? QuotaState::kWaiting : QuotaState::kAdmitted);
+  }
 }
 
 // A lowered limit binds at once, also for the burst that has accumulated.
@@ -896,6 +896,101 @@
   }
 }
 
+// An earlier process of the node may have leased its share to a coordinator
+// that this process doesn't consider.
+TEST(QuotaBorrowerTest, LendsOnlyAfterTheLeasesOfAnEarlierProcess) {
+  const QuotaOptions options;
+  const Instant start = At(Duration(0));
+  QuotaBorrower borrower(1, options, start, 1);
+  borrower.SetTenants(
+      std::make_shared<const QuotaTable>(QuotaTable{{10, {100, 100}}}), start);
+  borrower.SetNodes({1, 2, 3, 4, 5, 6, 7, 8}, start);
+  Instant first_lease = Instant::max();
+  for (Instant now = start; now < start + seconds(1); now += milliseconds(1)) {
+    borrower.OnTimer(now);
+    for (const OutgoingQuotaReport& outgoing : borrower.TakeReports()) {
+      if (outgoing.report.lends)
+        first_lease = std::min(first_lease, now);
+      QuotaGrant grant;
+      grant.node = outgoing.to;
+      grant.process = 9;
+      grant.shard = outgoing.report.shard;
+      grant.sequence = outgoing.report.sequence;
+      grant.stamp_us =
+          static_cast<std::uint64_t>(now.time_since_epoch().count());
+      grant.nodes = 8;
+      borrower.OnGrant(grant, now);
+    }
+  }
+  EXPECT_GE(first_lease, start + options.lender_lease);
+  EXPECT_LE(first_lease, start + options.lender_lease + milliseconds(5));
+}
+
+// When a lease ends, the part of the burst that belongs to it ends as well: its
+// lender leases it to another pool.
+TEST(QuotaPoolTest, BucketsShrinkWithTheShare) {
+  const QuotaOptions options;
+  QuotaPool pool(1, options, At(Duration(0)), 1);
+  pool.SetTenants(
+      std::make_shared<const QuotaTable>(QuotaTable{{10, {20, 100}}}),
+      At(Duration(0)));
+  QuotaReport report;
+  report.process = 1;
+  report.nodes = 4;
+  report.lends = true;
+  const auto lend = [&](state::NodeId node, Duration at, bool lends) {
+    report.node = node;
+    ++report.sequence;
+    report.lends = lends;
+    report.echo_us =
+        static_cast<std::uint64_t>(At(at).time_since_epoch().count());
+    report.wants.clear();
+    if (node == 1)
+      report.wants = {{10, 1, 0}};
+    const auto grant = pool.OnReport(report, At(at));
+    ASSERT_TRUE(grant.has_value());
+  };
+  for (int i = 0; i < 150; ++i) {
+    for (const state::NodeId node : {1, 2, 3, 4})
+      lend(node, milliseconds(100) * i, true);
+  }
+  for (const state::NodeId node : {2, 3, 4})
+    lend(node, seconds(15), false);
+  for (const state::NodeId node : {2, 3, 4})
+    lend(node, milliseconds(15001), true);
+  report.node = 1;
+  ++report.sequence;
+  report.wants = {{10, 200, 0}};
+  const auto grant = pool.OnReport(report, At(milliseconds(15002)));
+  ASSERT_TRUE(grant.has_value());
+  ASSERT_EQ(grant->granted.size(), 1U);
+  EXPECT_LE(grant->granted[0].tokens, 26U);
+  EXPECT_GE(grant->granted[0].tokens, 24U);
+}
+
+// Each coordinator that takes over starts with a part of the slack, not with
+// the burst.
+TEST(QuotaPoolTest, NewPoolStartsAlmostEmpty) {
+  const QuotaOptions options;
+  QuotaPool pool(1, options, At(Duration(0)), 1);
+  pool.SetTenants(
+      std::make_shared<const QuotaTable>(QuotaTable{{10, {100, 500}}}),
+      At(Duration(0)));
+  QuotaReport report;
+  report.node = 1;
+  report.process = 1;
+  report.sequence = 1;
+  report.nodes = 1;
+  report.lends = true;
+  report.echo_us =
+      static_cast<std::uint64_t>(At(seconds(3)).time_since_epoch().count());
+  report.wants = {{10, 600, 0}};
+  const auto grant = pool.OnReport(report, At(seconds(3)));
+  ASSERT_TRUE(grant.has_value());
+  EXPECT_LE(grant->granted.at(0).tokens, options.initial_tokens + 1);
+  EXPECT_GT(grant->granted.at(0).retry_after, Duration(0));
+}
+
 // Buckets are bounded, and an evicted one must not come back full.
 TEST(QuotaPoolTest, EvictedBucketsRestartAlmostEmpty) {
   QuotaOptions options;
