Add the messages of the quotas of tenants to the peer protocol

QuotaReport and QuotaGrant are appended to the union of messages. At most 4096 tenants per message are decoded. Round trips and the bound are tested; the originals of the frame fuzzer contain both.

--- a/fuzz/frame_fuzzer.cc
+++ b/fuzz/frame_fuzzer.cc
@@ -41,21 +41,25 @@
   state::ConfigurationDelta delta;
   delta.to = 1;
   delta.changes = {{"zone/a", "{region: one}"}, {"zone/b", std::nullopt}};
-  return {PayloadOf(call),
-          PayloadOf(answer),
-          PayloadOf(protocol::AnswerChunk{1, 65536, "part"}),
-          PayloadOf(protocol::Cancel{1}),
-          PayloadOf(protocol::Hello{1, 2, "orders-1"}),
-          PayloadOf(protocol::LeaveNotice{1, 2, 3}),
-          PayloadOf(protocol::BackendLeft{1, "i-1", 3}),
-          PayloadOf(protocol::BackendLeftPull{1}),
-          PayloadOf(protocol::VersionNotice{1, 7, 3}),
-          PayloadOf(protocol::CrashReport{9, {1, 2}}),
-          PayloadOf(protocol::CrashSuspicions{{{7, 2, state::Duration(3)}}}),
-          PayloadOf(protocol::ConfigurationPull{4}),
-          PayloadOf(protocol::ConfigurationPush{delta, true}),
-          PayloadOf(protocol::NodeRecordsPull{0}),
-          PayloadOf(records)};
+  return {
+      PayloadOf(call),
+      PayloadOf(answer),
+      PayloadOf(protocol::AnswerChunk{1, 65536, "part"}),
+      PayloadOf(protocol::Cancel{1}),
+      PayloadOf(protocol::Hello{1, 2, "orders-1"}),
+      PayloadOf(protocol::LeaveNotice{1, 2, 3}),
+      PayloadOf(protocol::BackendLeft{1, "i-1", 3}),
+      PayloadOf(protocol::BackendLeftPull{1}),
+      PayloadOf(protocol::VersionNotice{1, 7, 3}),
+      PayloadOf(protocol::CrashReport{9, {1, 2}}),
+      PayloadOf(protocol::CrashSuspicions{{{7, 2, state::Duration(3)}}}),
+      PayloadOf(protocol::QuotaReport{1, 2, 0, 3, 78, true, 4, {{5, 1, 2}}}),
+      PayloadOf(protocol::QuotaGrant{
+          1, 2, 0, 3, 4, 78, {{5, 1, state::Duration(6)}}}),
+      PayloadOf(protocol::ConfigurationPull{4}),
+      PayloadOf(protocol::ConfigurationPush{delta, true}),
+      PayloadOf(protocol::NodeRecordsPull{0}),
+      PayloadOf(records)};
 }
 
 }  // namespace
--- a/include/sesamespread/protocol/messages.h
+++ b/include/sesamespread/protocol/messages.h
@@ -11,6 +11,7 @@
 
 #include "sesamespread/coordination/crash_suspects.h"
 #include "sesamespread/coordination/gossip.h"
+#include "sesamespread/coordination/quota_messages.h"
 #include "sesamespread/state/configuration.h"
 #include "sesamespread/state/ids.h"
 #include "sesamespread/state/inventory.h"
@@ -245,6 +246,10 @@
   auto operator<=>(const CrashSuspicions&) const = default;
 };
 
+/// Messages of the quotas of tenants, which are part of the coordination layer.
+using coordination::QuotaGrant;
+using coordination::QuotaReport;
+
 /// Any message that is sent in a TCP frame.
 using PeerMessage = std::variant<CallRequest,
                                  CallAnswer,
@@ -262,7 +267,9 @@
                                  BackendLeftPull,
                                  VersionNotice,
                                  CrashReport,
-                                 CrashSuspicions>;
+                                 CrashSuspicions,
+                                 QuotaReport,
+                                 QuotaGrant>;
 
 /// Messages in datagrams are defined by the gossip protocol, which is part of
 /// the coordination layer.
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -239,6 +239,35 @@
           wire::CreateCrashSuspicions(builder, vector).Union()};
 }
 
+Body Encode(FlatBufferBuilder& builder, const QuotaReport& message) {
+  std::vector<wire::QuotaWant> wants;
+  wants.reserve(message.wants.size());
+  for (const coordination::QuotaWant& want : message.wants)
+    wants.emplace_back(want.tenant, want.waiting, want.prefetch);
+  const auto vector = builder.CreateVectorOfStructs(wants);
+  return {
+      wire::PeerBody::QuotaReport,
+      wire::CreateQuotaReport(builder, message.node, message.process,
+                              message.shard, message.sequence, message.nodes,
+                              message.lends, message.echo_us, vector)
+          .Union()};
+}
+
+Body Encode(FlatBufferBuilder& builder, const QuotaGrant& message) {
+  std::vector<wire::GrantedTokens> granted;
+  granted.reserve(message.granted.size());
+  for (const coordination::GrantedTokens& tokens : message.granted)
+    granted.emplace_back(
+        tokens.tenant, tokens.tokens,
+        static_cast<std::uint32_t>(tokens.retry_after.count()));
+  const auto vector = builder.CreateVectorOfStructs(granted);
+  return {wire::PeerBody::QuotaGrant,
+          wire::CreateQuotaGrant(builder, message.node, message.process,
+                                 message.shard, message.sequence,
+                                 message.stamp_us, message.nodes, vector)
+              .Union()};
+}
+
 Body Encode(FlatBufferBuilder& builder, const VersionNotice& message) {
   return {wire::PeerBody::VersionNotice,
           wire::CreateVersionNotice(builder, message.node, message.version,
@@ -411,6 +440,46 @@
   return message;
 }
 
+// More tenants in one message are an error of the sender.
+constexpr flatbuffers::uoffset_t kMaxQuotaTenants = 4096;
+
+Decoded DecodeQuotaReport(const wire::QuotaReport& body) {
+  QuotaReport message;
+  message.node = body.node();
+  message.process = body.process();
+  message.shard = body.shard();
+  message.sequence = body.sequence();
+  message.nodes = body.nodes();
+  message.lends = body.lends();
+  message.echo_us = body.echo_us();
+  if (const auto* wants = body.wants()) {
+    if (wants->size() > kMaxQuotaTenants)
+      return std::nullopt;
+    for (const wire::QuotaWant* want : *wants)
+      message.wants.push_back(
+          {want->tenant(), want->waiting(), want->prefetch()});
+  }
+  return message;
+}
+
+Decoded DecodeQuotaGrant(const wire::QuotaGrant& body) {
+  QuotaGrant message;
+  message.node = body.node();
+  message.process = body.process();
+  message.shard = body.shard();
+  message.sequence = body.sequence();
+  message.stamp_us = body.stamp_us();
+  message.nodes = body.nodes();
+  if (const auto* granted = body.granted()) {
+    if (granted->size() > kMaxQuotaTenants)
+      return std::nullopt;
+    for (const wire::GrantedTokens* tokens : *granted)
+      message.granted.push_back({tokens->tenant(), tokens->tokens(),
+                                 state::Duration(tokens->retry_after_us())});
+  }
+  return message;
+}
+
 Decoded DecodeNodeRecordsPush(const wire::NodeRecordsPush& body) {
   NodeRecordsPush message;
   if (!Decode(body.records(), &message.records))
@@ -432,6 +501,10 @@
       return DecodeCrashReport(*message.body_as_CrashReport());
     case wire::PeerBody::CrashSuspicions:
       return DecodeCrashSuspicions(*message.body_as_CrashSuspicions());
+    case wire::PeerBody::QuotaReport:
+      return DecodeQuotaReport(*message.body_as_QuotaReport());
+    case wire::PeerBody::QuotaGrant:
+      return DecodeQuotaGrant(*message.body_as_QuotaGrant());
     case wire::PeerBody::BackendLeft: {
       const auto* body = message.body_as_BackendLeft();
       return BackendLeft{body->node(), ToString(body->instance()),
--- a/unittests/protocol/codec_test.cc
+++ b/unittests/protocol/codec_test.cc
@@ -78,6 +78,34 @@
   }
 }
 
+TEST(CodecTest, RoundTripsQuotaMessages) {
+  QuotaReport report{1, ~0ULL, 1, 5, 78, true, 1'000'000, {}};
+  QuotaGrant grant{2, 8, 1, 5, ~0ULL, 32'000, {}};
+  const PeerMessage empty[] = {report, grant, QuotaReport(), QuotaGrant()};
+  report.wants = {{7, 3, 2}, {~0ULL, 0, ~0U}};
+  grant.granted = {{7, 3, state::Duration(0)},
+                   {~0ULL, 0, std::chrono::seconds(1)}};
+  const PeerMessage filled[] = {report, grant};
+  for (const auto& messages : {std::span<const PeerMessage>(empty),
+                               std::span<const PeerMessage>(filled)}) {
+    for (const PeerMessage& message : messages) {
+      const auto decoded = DecodePayload(PayloadOf(EncodeFrame(message)));
+      ASSERT_TRUE(decoded.has_value());
+      EXPECT_EQ(*decoded, message);
+    }
+  }
+}
+
+// A peer must not make a node build tables without bound.
+TEST(CodecTest, RefusesQuotaMessagesWithTooManyTenants) {
+  QuotaReport report;
+  report.wants.resize(4097);
+  EXPECT_FALSE(DecodePayload(PayloadOf(EncodeFrame(report))).has_value());
+  QuotaGrant grant;
+  grant.granted.resize(4097);
+  EXPECT_FALSE(DecodePayload(PayloadOf(EncodeFrame(grant))).has_value());
+}
+
 TEST(CodecTest, RoundTripsLeaveAndVersionNotices) {
   for (const PeerMessage& message :
        {PeerMessage(BackendLeft{1, "i-1", 3}), PeerMessage(BackendLeftPull{1}),
