--- a/include/sesamespread/transport/metrics.h
+++ b/include/sesamespread/transport/metrics.h
@@ -40,6 +40,11 @@
   double memory_held_bytes = 0;
   double memory_bound_bytes = 0;
   double memory_refusals = 0;
+  double quota_admitted = 0;
+  double quota_refused = 0;
+  double quota_waited = 0;
+  double quota_messages = 0;
+  double quota_coordinator_changes = 0;
 };
 
 /// Counters and gauges of one node. All methods may be called on any thread.
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -159,6 +159,18 @@
           },
           &memory_),
       directory_(MakeOwnRecord(settings, seed_), outbound_, router_, log_),
+      quota_(
+          state::NodeIdOf(settings.name),
+          deadlines_,
+          log_,
+          [this](state::NodeId node, const protocol::PeerMessage& message) {
+            // Registered nodes that the directory has forgotten have no
+            // address.
+            const state::Endpoint endpoint = directory_.EndpointOf(node);
+            if (endpoint.port != 0)
+              outbound_.SendControl(node, endpoint, message);
+          },
+          seed_),
       entry_(
           deadlines_,
           EntryOptions(settings, interface_.fields, seed_),
@@ -206,12 +218,14 @@
   outbound_.SetLinkObserver(
       [this](state::NodeId node, bool is_open, const std::string& reason) {
         directory_.OnLinkChange(node, is_open, reason);
+        quota_.OnLinkChange(node, is_open);
       });
   backend_executor_.SetLeaveObserver([this] { OnStatedLeave(); });
   backend_executor_.SetCrashObserver(
       [this](const protocol::CrashReport& r) { BroadcastCrashReport(r); });
   document_freshness_.set_max_age(MaxDocumentAge(settings));
   entry_.SetKeyCheck([this] { return document_freshness_.IsFresh(Now()); });
+  entry_.SetQuotaGate(&quotas_);
   entry_.SetVersionObserver([this](state::NodeId node, std::uint64_t version) {
     OnPeerRoutesVersion(node, version);
   });
@@ -372,6 +386,14 @@
     OnStoreClockPush(*push);
     return;
   }
+  if (const auto* report = std::get_if<protocol::QuotaReport>(&message)) {
+    quota_.OnReport(*report, reply);
+    return;
+  }
+  if (const auto* grant = std::get_if<protocol::QuotaGrant>(&message)) {
+    quota_.OnGrant(*grant);
+    return;
+  }
   if (const auto* pull = std::get_if<protocol::BackendLeftPull>(&message)) {
     const auto found = latest_leaves_.find(pull->node);
     reply(found == latest_leaves_.end()
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -48,6 +48,9 @@
 
 /// Longest wait of a watch of the document if withdrawn keys have a bound.
 constexpr Duration kMaxWatchWithKeys = seconds(1);
+/// Interval in which the quotas of tenants get the nodes that have been found
+/// otherwise than by the table.
+constexpr Duration kQuotaNodesInterval = seconds(1);
 
 /// Time after the start in which a node knows its peers from the table of nodes
 /// rather than by their links.
@@ -323,6 +326,7 @@
   document_ = document;
   entry_.SetRoutes(std::make_shared<const coordination::RouteTable>(routes));
   document_freshness_.OnVersionInForce(routes->version, store_clock_, Now());
+  quota_.SetTenants(routes->tenants);
   AnnounceVersion();
   return true;
 }
@@ -417,6 +421,27 @@
   return has_own;
 }
 
+void RouteNode::Impl::CountRegisteredNodes(
+    const coordination::RowsReply& reply) {
+  if (reply.left_out_rows == 0)
+    quota_nodes_.clear();
+  for (const coordination::StoreRow& row : reply.rows) {
+    if (!row.is_removed)
+      quota_nodes_.insert(state::NodeIdOf(row.key));
+  }
+  last_quota_nodes_update_ = {};
+}
+
+void RouteNode::Impl::UpdateQuotaNodes(Instant now) {
+  if (!quota_.has_quotas() ||
+      now - last_quota_nodes_update_ < kQuotaNodesInterval)
+    return;
+  last_quota_nodes_update_ = now;
+  for (const state::NodeRecord& record : directory_.Records())
+    quota_nodes_.insert(record.node);
+  quota_.SetNodes({quota_nodes_.begin(), quota_nodes_.end()});
+}
+
 void RouteNode::Impl::OnNodeRows(const coordination::RowsReply& reply) {
   OnStoreEra(reply.era);
   ReadStoreClock(reply);
@@ -426,6 +451,7 @@
   }
   LogLeftOutRows(interface_.node_table, reply);
   node_table_read_ = true;
+  CountRegisteredNodes(reply);
   // Keys of rows of other nodes that had this node's address before.
   std::vector<std::string> replaced;
   if (AddNodes(reply, &replaced) && replaced.empty()) {
