--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -225,7 +225,7 @@
       [this](const protocol::CrashReport& r) { BroadcastCrashReport(r); });
   document_freshness_.set_max_age(MaxDocumentAge(settings));
   entry_.SetKeyCheck([this] { return document_freshness_.IsFresh(Now()); });
-  entry_.SetQuotaGate(&quotas_);
+  entry_.SetQuotaGate(&quota_);
   entry_.SetVersionObserver([this](state::NodeId node, std::uint64_t version) {
     OnPeerRoutesVersion(node, version);
   });
