Drop wants of tokens that a grant has met meanwhile

While a report was awaited, a request could ask for tokens in advance that the grant and returned tokens then made unnecessary. The want stayed without being reported, and NextTimer returned the current time for ever.

--- a/include/sesamespread/coordination/quota_borrower.h
+++ b/include/sesamespread/coordination/quota_borrower.h
@@ -190,7 +190,8 @@
   // When the share of the shard may be leased to its coordinator.
   state::Instant LendableAt(const Shard& shard) const;
   void MaybeReport(std::uint32_t index, state::Instant now);
-  std::vector<QuotaWant> CollectWants(const Shard& shard, state::Instant now);
+  // Removes the tenants from shard.wanting that need no tokens any longer.
+  std::vector<QuotaWant> CollectWants(Shard& shard, state::Instant now);
   QuotaReport MakeReport(std::uint32_t index, state::Instant now);
   std::uint32_t StatedNodeCount(state::Instant now) const;
   void RefillBudget(state::Instant now);
--- a/lib/coordination/quota_borrower.cc
+++ b/lib/coordination/quota_borrower.cc
@@ -297,23 +297,30 @@
   return report;
 }
 
-std::vector<QuotaWant> QuotaBorrower::CollectWants(const Shard& shard,
-                                                   Instant now) {
+std::vector<QuotaWant> QuotaBorrower::CollectWants(Shard& shard, Instant now) {
   std::vector<QuotaWant> wants;
-  for (const TenantId id : shard.wanting) {
-    if (wants.size() >= options_.max_tenants_per_report)
-      break;
-    Tenant& tenant = tenants_[id];
-    if (now < tenant.paused_until)
+  for (auto it = shard.wanting.begin();
+       it != shard.wanting.end() &&
+       wants.size() < options_.max_tenants_per_report;) {
+    Tenant& tenant = tenants_[*it];
+    if (now < tenant.paused_until) {
+      ++it;
       continue;
+    }
     QuotaWant want;
-    want.tenant = id;
+    want.tenant = *it;
     want.waiting = static_cast<std::uint32_t>(tenant.waiting.size());
     const std::uint32_t unused = UnusedTokens(tenant, now);
     const std::uint32_t expected = ExpectedDemand(tenant);
     want.prefetch = expected > unused ? expected - unused : 0;
-    if (want.waiting > 0 || want.prefetch > 0)
+    if (want.waiting > 0 || want.prefetch > 0) {
       wants.push_back(want);
+      ++it;
+      continue;
+    }
+    // A grant has brought enough tokens since.
+    tenant.needs_prefetch = false;
+    it = shard.wanting.erase(it);
   }
   return wants;
 }
--- a/unittests/coordination/quota_test.cc
+++ b/unittests/coordination/quota_test.cc
@@ -220,6 +220,7 @@
       host->reports_sent = 0;
   }
   std::uint64_t messages() const { return messages_; }
+  std::uint64_t timers_run() const { return timers_run_; }
 
   static state::NodeId IdOf(std::size_t index) {
     return state::NodeIdOf("host-" + std::to_string(index));
@@ -336,9 +337,13 @@
     if (next >= host->timer_at)
       return;
     host->timer_at = next;
-    Schedule(std::max(next, now_ + Duration(1)), [this, host, index] {
-      RunOnHost(host, [this, host, index] {
+    Schedule(std::max(next, now_ + Duration(1)), [this, host, index, next] {
+      RunOnHost(host, [this, host, index, next] {
+        // Replaced by an earlier one.
+        if (host->timer_at != next)
+          return;
         host->timer_at = Instant::max();
+        ++timers_run_;
         host->borrower.OnTimer(now_);
         Pump(index);
       });
@@ -386,6 +391,7 @@
   std::map<std::string, Result> results_;
   std::map<std::pair<std::size_t, std::size_t>, Instant> last_arrival_;
   std::uint64_t messages_ = 0;
+  std::uint64_t timers_run_ = 0;
 };
 
 // The largest excess of the admitted requests over the bound in any window that
@@ -569,6 +575,12 @@
     double reports = 0;
     for (std::size_t i = 0; i < kHosts; ++i)
       reports = std::max(reports, world.ReportRate(i, seconds(6)));
+    // A timer that finds nothing to do and is set again at once would take all
+    // of the processor.
+    const double timers =
+        static_cast<double>(world.timers_run()) / 8.0 / kHosts;
+    Record("usual timers per second and host", timers);
+    EXPECT_LE(timers, 150);
     Record("usual admitted", admitted);
     Record("usual refused", refused);
     Record("usual mean wait ms", waited / admitted * 1000);
@@ -926,6 +938,56 @@
   EXPECT_LE(first_lease, start + options.lender_lease + milliseconds(5));
 }
 
+// A timer for tokens that are no longer needed would run again and again.
+TEST(QuotaBorrowerTest, SetsNoTimerForTokensThatAGrantHasBrought) {
+  Instant now = At(Duration(0));
+  QuotaBorrower borrower(1, QuotaOptions(), now, 1);
+  borrower.SetTenants(
+      std::make_shared<const QuotaTable>(QuotaTable{{10, {100, 100}}}), now);
+  borrower.SetNodes({1, 2}, now);
+  // Grants all tokens that the reports want.
+  const auto grant_all = [&] {
+    for (const OutgoingQuotaReport& outgoing : borrower.TakeReports()) {
+      QuotaGrant grant;
+      grant.node = outgoing.to;
+      grant.shard = outgoing.report.shard;
+      grant.sequence = outgoing.report.sequence;
+      grant.stamp_us = 1;
+      for (const QuotaWant& want : outgoing.report.wants)
+        grant.granted.push_back(
+            {want.tenant, want.waiting + want.prefetch, Duration(0)});
+      borrower.OnGrant(grant, now);
+    }
+  };
+  const auto request = [&] {
+    return borrower.Request(10, 0, now + seconds(1), now).state;
+  };
+  grant_all();
+  for (int i = 0; i < 40; ++i) {
+    request();
+    grant_all();
+  }
+  now += milliseconds(20);
+  // Uses tokens until more are requested, and once more until the grant.
+  std::vector<OutgoingQuotaReport> reports;
+  while (reports.empty()) {
+    ASSERT_EQ(request(), QuotaState::kAdmitted);
+    reports = borrower.TakeReports();
+  }
+  ASSERT_EQ(request(), QuotaState::kAdmitted);
+  QuotaGrant grant;
+  grant.node = reports[0].to;
+  grant.shard = reports[0].report.shard;
+  grant.sequence = reports[0].report.sequence;
+  grant.stamp_us = 1;
+  grant.granted = {{10, reports[0].report.wants.at(0).prefetch, Duration(0)}};
+  for (int i = 0; i < 10; ++i)
+    borrower.Release(10, now);
+  borrower.OnGrant(grant, now);
+  EXPECT_TRUE(borrower.TakeReports().empty());
+  EXPECT_GT(borrower.NextTimer(now), now);
+}
+
 // When a lease ends, the part of the burst that belongs to it ends as well: its
 // lender leases it to another pool.
 TEST(QuotaPoolTest, BucketsShrinkWithTheShare) {
