--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -266,6 +266,15 @@
 void OutboundCalls::SendCall(Handle handle,
                              PendingCall& call,
                              PeerSession& session) {
+  // The frame holds the body once more until it is written.
+  if (memory_ && !memory_->Admits(call.request.body.size())) {
+    boost::asio::post(context_, [this, handle, alive = alive_] {
+      if (*alive)
+        FailCall(handle, state::ResultCode::kNodeBusy, state::RunState::kNotRun,
+                 "too many bytes are held for requests and answers");
+    });
+    return;
+  }
   // Moved, because a copy of the body may be large.
   protocol::PeerMessage message(std::move(call.request));
   const bool is_sent = session.link->Send(message);
