--- a/include/sesamespread/coordination/routing.h
+++ b/include/sesamespread/coordination/routing.h
@@ -83,14 +83,14 @@
   /// raises the cost.
   state::Duration hint_max_age = std::chrono::seconds(1);
   double hint_max_factor = 1.5;
-  /// Servers that are compared by expected completion, if they report work
-  /// times.
-  std::uint32_t candidates = 3;
+  /// Servers that are drawn and compared, at least 1. The more there are, the
+  /// more nodes choose the same server until its next report.
+  std::uint32_t candidates = 2;
   /// The expected work time is raised by this factor times a power of the share
   /// of the server's limit that is in use. Without it, all nodes choose the
   /// fastest servers until calls wait there.
-  double congestion_cost = 5;
-  double congestion_power = 4;
+  double congestion_cost = 3;
+  double congestion_power = 3;
   /// Time constants with which reported load moves to the mean of the service,
   /// and the reported work factor to 1.
   state::Duration load_decay = std::chrono::milliseconds(150);
@@ -229,7 +229,7 @@
                   const LoadHint& hint,
                   state::Instant now);
 
-  /// Records a report of load that came without an answer.
+  /// Records a report of load; OnAnswered does so as well.
   void OnLoadReport(state::NodeId node,
                     const LoadHint& hint,
                     state::Instant now);
--- a/lib/coordination/routing.cc
+++ b/lib/coordination/routing.cc
@@ -550,13 +550,9 @@
     return std::nullopt;
   const double median = MedianOf(found->second, now);
   std::vector<Server*> pool = NarrowToZone(candidates, median, now, rng);
-  // Without reports of work times, two are compared: the more are, the more
-  // nodes choose the same server.
-  const std::size_t wanted =
-      found->second.work_time_us > 0 ? options_.candidates : 2;
   Server* chosen = nullptr;
   double lowest = 0;
-  for (std::size_t i = 0; i < wanted && i < pool.size(); ++i) {
+  for (std::size_t i = 0; i < options_.candidates && i < pool.size(); ++i) {
     std::uniform_int_distribution<std::size_t> draw(i, pool.size() - 1);
     std::swap(pool[i], pool[draw(rng)]);
     const double cost = CostOf(*pool[i], median, now);
@@ -601,9 +597,7 @@
   server->unreachable_until = Instant{};
   server->probe_sent.reset();
   server->last_answer = now;
-  server->hint = hint;
-  server->hint_at = now;
-  server->sent_since_hint = 0;
+  OnLoadReport(node, hint, now);
   if (result == ResultCode::kLeaving ||
       hint.backend_state == BackendState::kLeaving) {
     server->backend_state = BackendState::kLeaving;
--- a/unittests/coordination/load_balancing_bench.cc
+++ b/unittests/coordination/load_balancing_bench.cc
@@ -136,27 +136,12 @@
   });
 }
 
-void LoadBalancingBench::SendNotices(std::size_t server) {
-  const LoadHint hint = HintOf(servers_[server]);
-  After(kZoneDelay, [this, server, hint] {
-    for (Decider& decider : deciders_) {
-      if (decider.zone == servers_[server].zone)
-        decider.router->OnLoadReport(NodeOf(server), hint, At(now_));
-    }
-  });
-  After(policy_.notice_interval, [this, server] {
-    if (now_ < scenario_.duration)
-      SendNotices(server);
-  });
-}
-
 void LoadBalancingBench::Sample() {
   double idle = 0;
   double queued = 0;
   double slots = 0;
   for (Server& server : servers_) {
-    Apply(static_cast<std::size_t>(&server - servers_.data()),
-          server.queue->Tick(At(now_)));
+    Apply(server.queue->Tick(At(now_)));
     const QueueLoad load = server.queue->load(At(now_));
     idle += load.limit - std::min(load.in_progress, load.limit);
     queued += load.queued;
@@ -257,12 +242,11 @@
     const QueueActions actions =
         at.queue->Finish(kRoute, Span(took), true, At(now_));
     Answer(ticket, ResultCode::kOk);
-    Apply(index, actions);
+    Apply(actions);
   });
 }
 
-void LoadBalancingBench::Apply(std::size_t /*server*/,
-                               const QueueActions& actions) {
+void LoadBalancingBench::Apply(const QueueActions& actions) {
   for (const QueueRefusal& refusal : actions.refuse)
     Answer(refusal.ticket, refusal.code);
   for (const Ticket ticket : actions.start)
@@ -318,11 +302,8 @@
 BenchResult LoadBalancingBench::Run() {
   std::bernoulli_distribution is_slow(scenario_.noise_share);
   std::uniform_real_distribution<double> phase(0, scenario_.noise_spell);
-  for (std::size_t i = 0; i < servers_.size(); ++i) {
+  for (std::size_t i = 0; i < servers_.size(); ++i)
     After(phase(random_), [this, i] { NextSpell(i, false); });
-    if (policy_.notice_interval > 0)
-      SendNotices(i);
-  }
   for (std::size_t i = 0; i < deciders_.size(); ++i)
     NextRequest(i);
   Sample();
--- a/unittests/coordination/load_balancing_bench.h
+++ b/unittests/coordination/load_balancing_bench.h
@@ -50,9 +50,6 @@
   /// Whether a server refuses a first placement while it is slow.
   bool refuses_slow = true;
   RouterOptions router;
-  /// Interval of notices of its load from a node to those of its zone; 0 for
-  /// none.
-  double notice_interval = 0;
 };
 
 struct BenchResult {
@@ -117,12 +114,11 @@
   double MaxWait(const Request& request) const;
   void NextRequest(std::size_t decider);
   void NextSpell(std::size_t server, bool is_slow);
-  void SendNotices(std::size_t server);
   void Sample();
   void Place(Ticket ticket);
   void Offer(Ticket ticket);
   void Start(Ticket ticket);
-  void Apply(std::size_t server, const QueueActions& actions);
+  void Apply(const QueueActions& actions);
   void Answer(Ticket ticket, state::ResultCode result);
   void OnAnswer(Ticket ticket,
                 state::ResultCode result,
