Test that status lines that are not valid reach no caller

31 status lines of a server (000 to 099, 600 to 999, one, two and four digits, signs, spaces, tabs, other versions, 101) to route nodes as processes, for orders and reads, at the node beside the server and at another one: each of the 124 requests ends with 5xx and not with 503, each order with the result of a bad answer of the server, no order runs twice, and no connection carries a second request. The same at HttpClient with 50 lines: each is kMalformed and its connection is closed. An endless sequence of 1xx and bytes without end in a head or a body have tests already (HttpClientTest.ReportsMalformedAnswers, ServerFaultTest.BytesWithoutEndAreBounded).

No code is changed.

--- a/test/route_node/server_fault_test.cc
+++ b/test/route_node/server_fault_test.cc
@@ -17,6 +17,7 @@
 
 #include "deployment.h"
 #include "raw_backend.h"
+#include "sesamespread/state/result_code.h"
 #include "sesamespread/transport/clock.h"
 
 namespace sesamespread::test {
@@ -320,6 +321,84 @@
   StopServer();
 }
 
+// --- Status lines that are not valid
+
+// Guards against a status that no caller understands, or a success that the
+// server did not state: each of these is a failure of the attempt, the order
+// does not run again, and the connection is not used again.
+TEST_F(ServerFaultTest, AnAnswerWithAnInvalidStatusLineReachesNoCaller) {
+  const std::vector<std::string> lines = {"HTTP/1.1 000 None",
+                                          "HTTP/1.1 007 None",
+                                          "HTTP/1.1 099 None",
+                                          "HTTP/1.1 600 None",
+                                          "HTTP/1.1 799 None",
+                                          "HTTP/1.1 999 None",
+                                          "HTTP/1.1 20 OK",
+                                          "HTTP/1.1 2 OK",
+                                          "HTTP/1.1 2000 OK",
+                                          "HTTP/1.1 0200 OK",
+                                          "HTTP/1.1 20000000000 OK",
+                                          "HTTP/1.1 +20 OK",
+                                          "HTTP/1.1 -200 OK",
+                                          "HTTP/1.1 -20 OK",
+                                          "HTTP/1.1  200 OK",
+                                          "HTTP/1.1 2 0 OK",
+                                          "HTTP/1.1 20x OK",
+                                          "HTTP/1.1 0x2 OK",
+                                          "HTTP/1.1 2e2 OK",
+                                          "HTTP/1.1\t200 OK",
+                                          "HTTP/1.1 200\tOK",
+                                          "HTTP/1.1 OK",
+                                          "HTTP/1.1 ",
+                                          "HTTP/1.1",
+                                          " HTTP/1.1 200 OK",
+                                          "HTTP/1.2 200 OK",
+                                          "HTTP/2.0 200 OK",
+                                          "HTTP/2 200 OK",
+                                          "http/1.1 200 OK",
+                                          "200 OK",
+                                          "HTTP/1.1 101 Switching Protocols"};
+  std::mutex mutex;
+  std::string head;
+  std::vector<std::string> reused;
+  Start([&](const std::string& id, RawConnection& connection) {
+    const std::lock_guard lock(mutex);
+    if (connection.request_count() > 1)
+      reused.push_back(id);
+    connection.Write(head + fmt::format("\r\nX-Attempt-Id: {0}\r\n"
+                                        "X-Response-Seal: i-1/{0}\r\n"
+                                        "Content-Length: {1}\r\n\r\n"
+                                        "i-1 answers {0}",
+                                        id, id.size() + 12));
+  });
+  int number = 0;
+  for (const std::string& line : lines) {
+    {
+      const std::lock_guard lock(mutex);
+      head = line;
+    }
+    for (const bool is_order : {true, false}) {
+      for (const bool remote : {true, false}) {
+        SCOPED_TRACE(fmt::format("line '{}', order {}, remote {}", line,
+                                 is_order, remote));
+        const std::string id = fmt::format("i{}", number++);
+        const auto result = Send(id, is_order, remote);
+        EXPECT_GE(result.status, 500);
+        EXPECT_LE(result.status, 599);
+        EXPECT_NE(result.status, kUnavailable);
+        if (is_order) {
+          EXPECT_EQ(raw_->CountExecutions(id), 1U);
+          EXPECT_EQ(transport::FieldOf(result.headers, "Sesamespread-Result"),
+                    std::to_string(static_cast<int>(
+                        state::ResultCode::kBadBackendAnswer)));
+        }
+      }
+    }
+  }
+  StopServer();
+  EXPECT_EQ(reused, std::vector<std::string>{});
+}
+
 // --- Bytes without end
 
 struct Endless {
--- a/unittests/transport/http_client_test.cc
+++ b/unittests/transport/http_client_test.cc
@@ -4,6 +4,7 @@
 /// never end.
 #include "sesamespread/transport/http_client.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <optional>
@@ -133,6 +134,34 @@
   }
 }
 
+// Guards against a status line that one implementation takes for a success and
+// another one for an error, and against statuses that no caller understands.
+TEST_F(HttpClientTest, ReportsInvalidStatusLinesAndClosesTheConnection) {
+  std::vector<std::string> lines = {
+      "HTTP/1.1 1000 x",         "HTTP/1.1 2000 x", "HTTP/1.1 0200 x",
+      "HTTP/1.1 20 x",           "HTTP/1.1 2 x",    "HTTP/1.1 +20 x",
+      "HTTP/1.1 -20 x",          "HTTP/1.1 +200 x", "HTTP/1.1 -200 x",
+      "HTTP/1.1  200 x",         "HTTP/1.1 2 0 x",  "HTTP/1.1 20\t x",
+      "HTTP/1.1\t200 x",         "HTTP/1.1 200\tx", "HTTP/1.1 20x x",
+      "HTTP/1.1 \xb2\xb0\xb0 x", "HTTP/1.1 ",       "HTTP/1.1 x",
+      "HTTP/1.2 200 x",          "HTTP/2.0 200 x",  "HTTP/0.9 200 x",
+      " HTTP/1.1 200 x",         "http/1.1 200 x",  "HTTP/1.1 101 x"};
+  for (int status = 0; status <= 999; ++status) {
+    const bool is_valid = status >= 100 && status <= 599;
+    if (!is_valid && (status % 50 == 0 || status % 100 == 99 || status < 12))
+      lines.push_back(fmt::format("HTTP/1.1 {:03} x", status));
+  }
+  for (const std::string& line : lines) {
+    RawPeer peer(context_);
+    const std::size_t index = Send();
+    ASSERT_TRUE(peer.Accept(acceptor_));
+    ASSERT_TRUE(peer.Expect("\r\n\r\n"));
+    peer.Send(line + "\r\nContent-Length: 1\r\n\r\na");
+    EXPECT_EQ(Outcome(index).kind, HttpOutcomeKind::kMalformed) << line;
+    EXPECT_TRUE(peer.ExpectClose()) << line;
+  }
+}
+
 // An endless answer must be ended at the size limit before memory is exhausted.
 TEST_F(HttpClientTest, LimitsTheSizeOfAnswers) {
   HttpClientOptions options;
