Use the first report after a restart only with further evidence

A leave that was confirmed by two other nodes while the store was away is forgotten if all processes are killed before the store is back. At the first start of the system, reports count at once. A report of another instance than the one that the health check has found is a late one.

What stays: a server that left, passes its health checks without stating its leave and was forgotten by the store and all nodes is used again.

Without the change, RouteNodeTest.ALateReportDoesNotUndoALeaveThatAllNodesHaveForgotten finds requests at the server that left.

--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -240,10 +240,8 @@
   }
   const Instant now = Now();
   const auto* report = std::get_if<state::BackendReport>(&*call);
-  if (report && !report->leaving && !registry_.current() &&
-      !IsLeaveStateKnown()) {
-    // The report may be older than a leave that this node has not received yet.
-    unconfirmed_report_ = *report;
+  if (report && !report->leaving && !registry_.current()) {
+    HoldFirstReport(*report);
     exchange->Respond(JsonResponse(200, "{}"));
     return;
   }
--- a/lib/transport/route_node_backend.cc
+++ b/lib/transport/route_node_backend.cc
@@ -145,28 +145,40 @@
 void RouteNode::Impl::OnHealthCheckResult(const HttpOutcome& outcome,
                                           Instant sent) {
   health_check_pending_ = false;
-  if (outcome.kind != HttpOutcomeKind::kAnswered ||
-      outcome.response.status != 200)
+  if (outcome.kind != HttpOutcomeKind::kAnswered)
     return;
-  is_health_check_answered_ = true;
   const std::string instance(
       FieldOf(outcome.response.headers, interface_.fields.instance));
   const auto& current = registry_.current();
+  const bool states_leave =
+      !FieldOf(outcome.response.headers, interface_.fields.leaving).empty();
+  // A leaving server may fail its health check. Its leave may be unknown here,
+  // and a late report may follow.
+  if (!current && states_leave && !instance.empty()) {
+    is_health_check_answered_ = true;
+    RecordLeave({instance, 0});
+    return;
+  }
+  if (outcome.response.status != 200)
+    return;
+  is_health_check_answered_ = true;
   if (!current || current->identity.instance == instance)
     backend_executor_.OnServerHeaders(outcome.response.headers, sent);
   if (!current) {
-    if (!FieldOf(outcome.response.headers, interface_.fields.leaving).empty()) {
-      if (!instance.empty())
-        RecordLeave({instance, 0});
+    if (states_leave)
       return;
+    // A report of another instance is a late one of an earlier server.
+    const bool is_reported =
+        unconfirmed_report_ &&
+        (instance.empty() ||
+         instance == unconfirmed_report_->identity.instance);
+    if (!is_reported) {
+      const auto load = ParseServerLoad(
+          FieldOf(outcome.response.headers, interface_.fields.load));
+      unconfirmed_report_.emplace();
+      unconfirmed_report_->identity.instance = instance;
+      unconfirmed_report_->slots = load ? load->slots : 0;
     }
-    if (unconfirmed_report_)
-      return;
-    const auto load = ParseServerLoad(
-        FieldOf(outcome.response.headers, interface_.fields.load));
-    unconfirmed_report_.emplace();
-    unconfirmed_report_->identity.instance = instance;
-    unconfirmed_report_->slots = load ? load->slots : 0;
     ApplyUnconfirmedReport();
     return;
   }
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -162,7 +162,12 @@
   }
   // The current backend server states in its answers that it leaves.
   void OnStatedLeave();
-  // Applies unconfirmed_report_ once the leave state is known.
+  // Holds a report that arrives before any other evidence of the server. It may
+  // be older than a leave that this node has not received yet, or that nobody
+  // has any more.
+  void HoldFirstReport(const state::BackendReport& report);
+  // Applies unconfirmed_report_ once the leave state is known and the server is
+  // known to be running: by its health check, or by a second report.
   void ApplyUnconfirmedReport();
 
   // Requests that end backend servers.
@@ -278,6 +283,11 @@
   // A report or the result of a health check that arrived before the leave
   // state was known.
   std::optional<state::BackendReport> unconfirmed_report_;
+  // Sequence number and arrival of the first report held for the same instance,
+  // and whether a later one has followed.
+  std::uint64_t first_held_sequence_ = 0;
+  state::Instant first_held_at_{};
+  bool has_second_report_ = false;
 
   // Set while the backend server counts as down and health checks are made.
   bool is_backend_down_ = false;
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -675,9 +675,35 @@
       });
 }
 
+void RouteNode::Impl::HoldFirstReport(const state::BackendReport& report) {
+  const Instant now = Now();
+  // A health check was answered by another instance: the report is late.
+  if (unconfirmed_report_ && unconfirmed_report_->service.empty() &&
+      !unconfirmed_report_->identity.instance.empty() &&
+      unconfirmed_report_->identity.instance != report.identity.instance)
+    return;
+  const bool is_first =
+      !unconfirmed_report_ || unconfirmed_report_->identity != report.identity;
+  if (is_first) {
+    first_held_sequence_ = report.sequence;
+    first_held_at_ = now;
+  }
+  // Reports that arrive together may both be late.
+  has_second_report_ =
+      !is_first && (has_second_report_ ||
+                    (report.sequence > first_held_sequence_ &&
+                     now - first_held_at_ >=
+                         coordination::BackendRegistry::kMinCandidateTime));
+  unconfirmed_report_ = report;
+  ApplyUnconfirmedReport();
+}
+
 void RouteNode::Impl::ApplyUnconfirmedReport() {
   if (!IsLeaveStateKnown() || !unconfirmed_report_)
     return;
+  // Nothing has left before the first start of the system.
+  if (!is_health_check_answered_ && !has_second_report_ && !settings_.bootstrap)
+    return;
   const state::BackendReport seen =
       *std::exchange(unconfirmed_report_, std::nullopt);
   // The result of a health check does not contain the service.
--- a/test/route_node/route_node_test.cc
+++ b/test/route_node/route_node_test.cc
@@ -157,6 +157,57 @@
   EXPECT_TRUE(leaving.backend->executed_ids().empty());
 }
 
+// Guards against a leave that was confirmed while the store refused writes and
+// that all nodes have forgotten, because they were killed together: a late
+// report made the server count as a new one, although its health check says
+// that it leaves.
+TEST_F(RouteNodeTest, ALateReportDoesNotUndoALeaveThatAllNodesHaveForgotten) {
+  RouteHost& leaving = deployment_.stock(0);
+  ASSERT_EQ(leaving.backend->Report(false), kOk);
+  deployment_.store().SetMode(Store::Mode::kRefusing);
+  ASSERT_EQ(leaving.backend->Report(true), kOk);
+  leaving.backend->SetStatesLeaving();
+  for (RouteHost& host : deployment_.hosts())
+    deployment_.KillNode(host);
+  deployment_.store().SetMode(Store::Mode::kServing);
+  const state::Instant killed = transport::Now();
+  for (RouteHost& host : deployment_.hosts())
+    deployment_.StartNode(host);
+  ASSERT_TRUE(bench::WaitFor(
+      [&] { return leaving.backend->Report(false) == kOk; }, kTestTimeout));
+  for (RouteHost& host : deployment_.hosts()) {
+    ASSERT_TRUE(bench::WaitFor([&] { return deployment_.IsReady(host); },
+                               kTestTimeout));
+  }
+  ASSERT_TRUE(bench::WaitFor(
+      [&] {
+        return deployment_.MetricOf(deployment_.shop(),
+                                    "sesamespread_servers_available") >= 2;
+      },
+      kTestTimeout));
+  for (int i = 0; i < 40; ++i)
+    deployment_.Send(leaving, "stock.example", "k" + std::to_string(i));
+  EXPECT_TRUE(leaving.backend->ExecutedAfter(killed).empty());
+}
+
+// Guards against a server that gets no work after a restart of its node because
+// its health check fails: it goes on reporting.
+TEST_F(RouteNodeTest, ASecondReportSufficesWithoutAHealthCheck) {
+  RouteHost& host = deployment_.stock(0);
+  deployment_.KillNode(host);
+  host.backend->SetFailsHealthChecks();
+  deployment_.StartNode(host);
+  ASSERT_TRUE(bench::WaitFor([&] { return host.backend->Report(false) == kOk; },
+                             kTestTimeout));
+  EXPECT_TRUE(bench::WaitFor(
+      [&] {
+        host.backend->Report(false);
+        return deployment_.MetricOf(host, "sesamespread_servers_available") ==
+               3;
+      },
+      kTestTimeout));
+}
+
 // Guards against a confirmed leave that nobody but the confirming node has: the
 // store and the peers are out of its reach, and it is killed afterwards.
 TEST(RouteNodeLeaveTest, ALeaveWithoutAnyCopyIsNotConfirmed) {
