--- a/include/sesamespread/transport/http_server.h
+++ b/include/sesamespread/transport/http_server.h
@@ -94,8 +94,8 @@
   void StartDraining();
 
   /// Stops accepting connections and closes idle ones. Requests in progress are
-  /// answered with "Connection: close". Pipelined requests behind an answer with
-  /// that field count as not read, and are never passed to the handler.
+  /// answered with "Connection: close". Pipelined requests behind an answer
+  /// with that field count as not read, and are never passed to the handler.
   void StopAccepting();
 
   /// Number of open connections, without those that are being refused.
