Check operators' documents before they are written to the store

A fault of a document was noticed by the nodes that refuse it, one at a time and without its line, or not at all: a route hidden by another one with the same prefix, a key of two tenants, a goal beyond its timeout.

--- a/test/operations/operations_test.cc
+++ b/test/operations/operations_test.cc
@@ -320,6 +320,31 @@
   EXPECT_NE(explained.output.find("critical"), std::string::npos);
 }
 
+// Guards against documents of route nodes that are checked as inventories.
+TEST(UsageTest, CheckReportsFaultsOfADocument) {
+  const auto document = [](const std::string& version,
+                           const std::string& goal) {
+    const std::string path = testing::TempDir() + "document-" + version + "-" +
+                             goal + "-" + std::to_string(getpid()) + ".json";
+    std::ofstream(path) << R"({"version":")" << version << R"(","listeners":[
+      {"host":"h","rules":[{"name":"orders","kind":"safe","goal":")"
+                        << goal << R"(","match":{"prefix":"/orders/"},
+       "action":{"service":"s","timeout":"5s","max_attempts":2}}]}],
+      "clusters":[]})";
+    return path;
+  };
+  const std::string in_force = document("r1", "1s");
+  const VerbResult valid = RunVerb("check --document " + document("r2", "2s") +
+                                   " --against " + in_force);
+  EXPECT_EQ(valid.exit_code, 0) << valid.output;
+  EXPECT_NE(valid.output.find("route/orders.goal: 1s -> 2s"), std::string::npos)
+      << valid.output;
+  EXPECT_EQ(RunVerb("check --document " + document("r2", "6s")).exit_code, 3);
+  EXPECT_EQ(RunVerb("check --against " + in_force).exit_code, 2);
+  EXPECT_EQ(RunVerb("check --document " + in_force + " " + kColmenar).exit_code,
+            2);
+}
+
 TEST(UsageTest, EachVerbHasHelpWithExamples) {
   for (const char* verb : {"check", "diff", "apply", "show", "history",
                            "rollback", "explain", "status", "drain"}) {
--- a/tools/sesamespread/check.cc
+++ b/tools/sesamespread/check.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 
 #include "command.h"
+#include "operator_document.h"
+#include "operator_document_check.h"
 #include "sesamespread/coordination/configuration_reader.h"
 #include "sesamespread/state/request_context.h"
 #include "verbs.h"
@@ -45,7 +47,50 @@
   return names;
 }
 
+// Checks the operator's document that --document names and prints its
+// differences from the one that --against names.
+int CheckDocument(const Command& command) {
+  const state::SourceText source =
+      ReadSource(command.Get<std::string>("document"));
+  auto faults = platform::CheckOperatorDocument(source);
+  if (!faults.empty())
+    throw state::ValidationError(state::ResultCode::kConfigurationInvalid,
+                                 std::move(faults));
+  const state::RouteSet set = platform::DecodeOperatorDocument(source.text);
+  std::vector<std::string> differences;
+  if (command.Has("against")) {
+    const state::RouteSet before = platform::DecodeOperatorDocument(
+        ReadSource(command.Get<std::string>("against")).text);
+    differences = platform::CompareRouteSets(before, set);
+    if (set.version <= before.version)
+      differences.insert(differences.begin(),
+                         fmt::format("the version r{} does not follow r{}: the "
+                                     "document would not take effect",
+                                     set.version, before.version));
+  }
+  if (command.is_json()) {
+    fmt::print(R"({{"result": 100, "routes": {}, "tenants": {}, )"
+               R"("differences": {}}})"
+               "\n",
+               set.routes.size(), set.tenants.size(), JsonList(differences));
+    return kExitOk;
+  }
+  fmt::print("valid: version r{}, {} routes, {} services, {} tenants\n",
+             set.version, set.routes.size(), set.services.size(),
+             set.tenants.size());
+  for (const std::string& difference : differences)
+    fmt::print("{}\n", difference);
+  return kExitOk;
+}
+
 int Check(const Command& command) {
+  if (command.Has("against") && !command.Has("document"))
+    throw UsageError("--against needs --document");
+  if (command.Has("document")) {
+    if (command.Has("node") || !command.arguments().empty())
+      throw UsageError("--document is checked alone");
+    return CheckDocument(command);
+  }
   if (command.Has("reference")) {
     fmt::print("{}", state::ReferencePage());
     return kExitOk;
@@ -159,9 +204,15 @@
                   "FILE...",
                   "  sesamespread check zones.yaml services.yaml rules.yaml\n"
                   "  sesamespread check inventory.yaml --node node.yaml\n"
+                  "  sesamespread check --document next.json --against "
+                  "in-force.json\n"
                   "  sesamespread check --reference > SETTINGS.md\n");
   command.Add()("node", "File with the settings of a node; may be repeated",
                 cxxopts::value<std::vector<std::string>>())(
+      "document", "Check this operator's document of route nodes instead",
+      cxxopts::value<std::string>())(
+      "against", "Print the differences of --document from this one",
+      cxxopts::value<std::string>())(
       "reference", "Print the reference page of all fields of the files");
   return command.Run(argc, argv, [&command] { return Check(command); });
 }
