--- a/include/sesamespread/coordination/route_table.h
+++ b/include/sesamespread/coordination/route_table.h
@@ -3,6 +3,7 @@
 #ifndef SESAMESPREAD_COORDINATION_ROUTE_TABLE_H_
 #define SESAMESPREAD_COORDINATION_ROUTE_TABLE_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -27,6 +28,12 @@
   /// The route named \p name, or nullptr.
   const state::Route* Find(std::string_view name) const;
 
+  /// The rank of requests of \p tenant, which is one of the routes' tenants, on
+  /// \p route; 0 is the highest. Each priority above the lowest one of all
+  /// tenants raises a request by all ranks of routes.
+  std::uint32_t RankOf(const state::Route& route,
+                       const state::Tenant& tenant) const;
+
   const state::RouteSet& routes() const { return *routes_; }
   const std::shared_ptr<const state::RouteSet>& shared_routes() const {
     return routes_;
@@ -37,6 +44,9 @@
   // By lower-case host; longest prefix first.
   std::unordered_map<std::string, std::vector<const state::Route*>> by_host_;
   std::unordered_map<std::string_view, const state::Route*> by_name_;
+  // Distinct priorities of the tenants, highest first. Tenants without one have
+  // the lowest.
+  std::vector<std::uint32_t> tenant_priorities_;
 };
 
 }  // namespace sesamespread::coordination
--- a/lib/coordination/route_table.cc
+++ b/lib/coordination/route_table.cc
@@ -3,8 +3,11 @@
 #include "sesamespread/coordination/route_table.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include "sesamespread/state/request_context.h"
+
 namespace sesamespread::coordination {
 namespace {
 
@@ -20,6 +23,10 @@
   return key;
 }
 
+/// Ranks that routes have; less important ones share the last.
+constexpr std::uint32_t kRouteRanks =
+    state::kPriorityCount / state::kPrioritiesPerImportance;
+
 }  // namespace
 
 RouteTable::RouteTable(std::shared_ptr<const state::RouteSet> routes)
@@ -28,6 +35,12 @@
     by_host_[HostKey(route.host)].push_back(&route);
     by_name_.emplace(route.name, &route);
   }
+  std::set<std::uint32_t> priorities;
+  for (const state::Tenant& tenant : routes_->tenants) {
+    if (tenant.priority)
+      priorities.insert(*tenant.priority);
+  }
+  tenant_priorities_.assign(priorities.begin(), priorities.end());
   for (auto& [host, routes_of_host] : by_host_) {
     std::stable_sort(routes_of_host.begin(), routes_of_host.end(),
                      [](const state::Route* left, const state::Route* right) {
@@ -49,6 +62,18 @@
   return nullptr;
 }
 
+std::uint32_t RouteTable::RankOf(const state::Route& route,
+                                 const state::Tenant& tenant) const {
+  if (!tenant.priority)
+    return route.priority;
+  const auto above = std::upper_bound(
+      tenant_priorities_.begin(), tenant_priorities_.end(), *tenant.priority);
+  const auto lower_levels =
+      static_cast<std::uint32_t>(tenant_priorities_.end() - above);
+  const std::uint32_t raise = lower_levels * kRouteRanks;
+  return route.priority > raise ? route.priority - raise : 0;
+}
+
 const state::Route* RouteTable::Find(std::string_view name) const {
   const auto found = by_name_.find(name);
   return found == by_name_.end() ? nullptr : found->second;
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -312,6 +312,7 @@
   if (!tenant)
     return;
   request.call.tenant = tenant->name;
+  request.call.priority = request.routes->RankOf(*request.route, *tenant);
   request.call.headers.push_back({options_.fields.tenant, tenant->name});
 }
 
@@ -385,6 +386,12 @@
 std::vector<NodeId> EntryRequestHandler::ExcludedServers(const Request& request,
                                                          Instant now) const {
   std::vector<NodeId> excluded = request.tried;
+  // The waits that servers report are those behind the tenants above their
+  // shares, which a tenant within its share does not wait for.
+  if (request.tenant &&
+      entry_shares_.DemandLevel(request.call.priority,
+                                state::HashOf(request.tenant->name), now) <= 1)
+    return excluded;
   const std::vector<NodeId> long_wait_nodes =
       waits_.NodesAbove(request.route->name, MaxWait(request, now), now);
   excluded.insert(excluded.end(), long_wait_nodes.begin(),
--- a/unittests/coordination/route_table_test.cc
+++ b/unittests/coordination/route_table_test.cc
@@ -67,5 +67,20 @@
   EXPECT_EQ(table_.Find("none"), nullptr);
 }
 
+// Guards against a route's priority that counts more than its tenant's.
+TEST(RouteTableTest, ATenantsPriorityGoesBeforeThatOfTheRoute) {
+  auto set = std::make_shared<state::RouteSet>();
+  set->tenants = {
+      {"high", {}, 0, {}}, {"usual", {}, 1, {}}, {"none", {}, {}, {}}};
+  const RouteTable table(set);
+  state::Route route;
+  route.priority = 2;
+  EXPECT_EQ(table.RankOf(route, set->tenants[0]), 0U);
+  EXPECT_EQ(table.RankOf(route, set->tenants[1]), 2U);
+  EXPECT_EQ(table.RankOf(route, set->tenants[2]), 2U);
+  route.priority = 0;
+  EXPECT_EQ(table.RankOf(route, set->tenants[1]), 0U);
+}
+
 }  // namespace
 }  // namespace sesamespread::coordination
