Keep a server's last report on answers that carry none

An answer that the sending node makes itself has no load; it replaced the last report of the server, which was then judged by its latency.

coordination_tests (265) and transport_tests (137) pass.

--- a/lib/coordination/routing.cc
+++ b/lib/coordination/routing.cc
@@ -597,7 +597,9 @@
   server->unreachable_until = Instant{};
   server->probe_sent.reset();
   server->last_answer = now;
-  OnLoadReport(node, hint, now);
+  // An answer that did not come from the server's node reports no limit.
+  if (hint.limit > 0)
+    OnLoadReport(node, hint, now);
   if (result == ResultCode::kLeaving ||
       hint.backend_state == BackendState::kLeaving) {
     server->backend_state = BackendState::kLeaving;
--- a/unittests/coordination/routing_test.cc
+++ b/unittests/coordination/routing_test.cc
@@ -215,6 +215,15 @@
   EXPECT_GT(Shares(60'001)[10], 0);
 }
 
+// An answer made by this node itself erased the last report of the server.
+TEST_F(RoutingTest, AnswerWithoutLoadKeepsTheLastReport) {
+  SetServers({MakeServer(10, "a"), MakeServer(11, "a")});
+  router_.OnLoadReport(10, WorkTime(milliseconds(300), 100), At(0));
+  router_.OnLoadReport(11, WorkTime(milliseconds(90), 100), At(0));
+  Answer(10, 1, milliseconds(10), ResultCode::kNodeBusy);
+  EXPECT_EQ(Shares(2)[10], 0);
+}
+
 // Refusals by full servers moved calls to other zones although the expected
 // completion there was no better.
 TEST_F(RoutingTest, SpillsByExpectedCompletion) {
