Connect quotas to links, timers and the tables of a route node

QuotaGate gives requests tokens, sends the reports of QuotaBorrower over the links and answers those of other nodes with QuotaPool. Nodes that the directory forgot keep their shares: they count as long as the table of nodes has them. Refusals and changes of coordinators are logged and counted.

--- a/include/sesamespread/transport/metrics.h
+++ b/include/sesamespread/transport/metrics.h
@@ -37,6 +37,11 @@
   double store_version = 0;
   double report_age_seconds = 0;
   double log_lines_lost = 0;
+  double quota_admitted = 0;
+  double quota_refused = 0;
+  double quota_waited = 0;
+  double quota_messages = 0;
+  double quota_coordinator_changes = 0;
 };
 
 /// Counters and gauges of one node. All methods may be called on any thread.
--- a/lib/transport/metrics.cc
+++ b/lib/transport/metrics.cc
@@ -78,6 +78,19 @@
     {"sesamespread_log_lines_lost",
      "Log lines lost because the reader was too slow",
      &NodeGauges::log_lines_lost},
+    {"sesamespread_quota_admitted",
+     "Requests of tenants with a quota that it admitted",
+     &NodeGauges::quota_admitted},
+    {"sesamespread_quota_refused", "Requests refused by the quotas of tenants",
+     &NodeGauges::quota_refused},
+    {"sesamespread_quota_waited",
+     "Requests that waited for a coordinator of the quotas",
+     &NodeGauges::quota_waited},
+    {"sesamespread_quota_messages", "Messages about quotas sent to other nodes",
+     &NodeGauges::quota_messages},
+    {"sesamespread_quota_coordinator_changes",
+     "Changes of the coordinators of the quotas, as this node sees them",
+     &NodeGauges::quota_coordinator_changes},
 };
 
 }  // namespace
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -140,6 +140,18 @@
                 });
           }),
       directory_(MakeOwnRecord(settings, seed_), outbound_, router_, log_),
+      quota_(
+          state::NodeIdOf(settings.name),
+          deadlines_,
+          log_,
+          [this](state::NodeId node, const protocol::PeerMessage& message) {
+            // Registered nodes that the directory has forgotten have no
+            // address.
+            const state::Endpoint endpoint = directory_.EndpointOf(node);
+            if (endpoint.port != 0)
+              outbound_.SendControl(node, endpoint, message);
+          },
+          seed_),
       entry_(
           deadlines_,
           EntryOptions(settings, interface_.fields, seed_),
@@ -184,6 +196,7 @@
   outbound_.SetLinkObserver(
       [this](state::NodeId node, bool is_open, const std::string& reason) {
         directory_.OnLinkChange(node, is_open, reason);
+        quota_.OnLinkChange(node, is_open);
       });
   backend_executor_.SetLeaveObserver([this] { OnStatedLeave(); });
   backend_executor_.SetCrashObserver(
@@ -344,6 +357,14 @@
       reply(protocol::ConfigurationPull{version()});
     return;
   }
+  if (const auto* report = std::get_if<protocol::QuotaReport>(&message)) {
+    quota_.OnReport(*report, reply);
+    return;
+  }
+  if (const auto* grant = std::get_if<protocol::QuotaGrant>(&message)) {
+    quota_.OnGrant(*grant);
+    return;
+  }
   if (const auto* pull = std::get_if<protocol::BackendLeftPull>(&message)) {
     const auto found = latest_leaves_.find(pull->node);
     reply(found == latest_leaves_.end()
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -38,6 +38,7 @@
 #include "sesamespread/transport/metrics.h"
 #include "sesamespread/transport/node_directory.h"
 #include "sesamespread/transport/outbound_calls.h"
+#include "sesamespread/transport/quota_gate.h"
 #include "sesamespread/transport/random_seed.h"
 #include "sesamespread/transport/route_node.h"
 #include "sesamespread/transport/settings_file.h"
@@ -132,6 +133,12 @@
   bool AddNodes(const coordination::RowsReply& reply,
                 std::vector<std::string>* replaced);
 
+  // Tells the quotas of the nodes that are registered or known; called by each
+  // tick.
+  void UpdateQuotaNodes(state::Instant now);
+  // Counts the nodes in \p reply for the quotas.
+  void CountRegisteredNodes(const coordination::RowsReply& reply);
+
   // Backend servers that have left. A node that restarts must not send work to
   // a server whose leave it had confirmed before; some servers pass health
   // checks until they end.
@@ -208,6 +215,7 @@
   BackendExecutor backend_executor_;
   OutboundCalls outbound_;
   NodeDirectory directory_;
+  QuotaGate quota_;
   EntryRequestHandler entry_;
   coordination::BackendRegistry registry_;
   std::unique_ptr<coordination::RowStore> store_;
@@ -238,6 +246,11 @@
   coordination::VersionSources version_sources_;
   // Set once the table of nodes has been read.
   bool node_table_read_ = false;
+  // The nodes in the table of nodes at its last read, and those that this node
+  // has known since. A node that is unreachable for a minute is forgotten by
+  // the directory, but keeps its share of the quotas.
+  std::set<state::NodeId> quota_nodes_;
+  state::Instant last_quota_nodes_update_{};
   // Peers that all records were requested from because the table had not been
   // read.
   int record_pulls_sent_ = 0;
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -51,6 +51,7 @@
   PullRoutes();
   ReadOrWatchDocument();
   RepeatAnnouncement(now);
+  UpdateQuotaNodes(now);
   if (now - last_settings_check_ >= kSettingsCheckInterval) {
     last_settings_check_ = now;
     if (settings_file_.HasChanged())
@@ -88,6 +89,14 @@
   gauges.report_age_seconds =
       age(std::max(registry_.reported_at(), started_at_));
   gauges.log_lines_lost = static_cast<double>(log_.lost_line_count());
+  const QuotaCounters& quota = quota_.counters();
+  gauges.quota_admitted = static_cast<double>(quota.admitted);
+  gauges.quota_refused = static_cast<double>(quota.refused);
+  gauges.quota_waited = static_cast<double>(quota.waited);
+  gauges.quota_messages =
+      static_cast<double>(quota.reports_sent + quota.grants_sent);
+  gauges.quota_coordinator_changes =
+      static_cast<double>(quota.coordinator_changes);
   return gauges;
 }
 
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -42,6 +42,10 @@
 /// store serves.
 constexpr Duration kOwnRowsCheckInterval = milliseconds(4);
 
+/// Interval in which the quotas of tenants get the nodes that have been found
+/// otherwise than by the table.
+constexpr Duration kQuotaNodesInterval = seconds(1);
+
 /// Time after the start in which a node knows its peers from the table of nodes
 /// rather than by their links.
 constexpr Duration kLinkOpeningTime = milliseconds(500);
@@ -285,6 +289,7 @@
   routes_ = routes;
   document_ = document;
   entry_.SetRoutes(std::make_shared<const coordination::RouteTable>(routes));
+  quota_.SetTenants(routes->tenants);
   AnnounceVersion();
 }
 
@@ -373,6 +378,27 @@
   return has_own;
 }
 
+void RouteNode::Impl::CountRegisteredNodes(
+    const coordination::RowsReply& reply) {
+  if (reply.left_out_rows == 0)
+    quota_nodes_.clear();
+  for (const coordination::StoreRow& row : reply.rows) {
+    if (!row.is_removed)
+      quota_nodes_.insert(state::NodeIdOf(row.key));
+  }
+  last_quota_nodes_update_ = {};
+}
+
+void RouteNode::Impl::UpdateQuotaNodes(Instant now) {
+  if (!quota_.has_quotas() ||
+      now - last_quota_nodes_update_ < kQuotaNodesInterval)
+    return;
+  last_quota_nodes_update_ = now;
+  for (const state::NodeRecord& record : directory_.Records())
+    quota_nodes_.insert(record.node);
+  quota_.SetNodes({quota_nodes_.begin(), quota_nodes_.end()});
+}
+
 void RouteNode::Impl::OnNodeRows(const coordination::RowsReply& reply) {
   OnStoreEra(reply.era);
   if (reply.status != coordination::StoreStatus::kDone) {
@@ -381,6 +407,7 @@
   }
   LogLeftOutRows(interface_.node_table, reply);
   node_table_read_ = true;
+  CountRegisteredNodes(reply);
   // Keys of rows of other nodes that had this node's address before.
   std::vector<std::string> replaced;
   if (AddNodes(reply, &replaced) && replaced.empty()) {
