--- a/include/sesamespread/transport/memory_account.h
+++ b/include/sesamespread/transport/memory_account.h
@@ -35,6 +35,8 @@
   std::size_t bound() const { return bound_; }
   /// Charges that were given up and requests that were refused.
   std::uint64_t refusals() const { return refusals_; }
+  /// Counts a refusal for lack of memory that its holder decided.
+  void CountRefusal() { ++refusals_; }
 
   /// Whether large messages should not be read further for now.
   bool is_high() const { return held_ > bound_ / 4 * 3; }
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -241,9 +241,11 @@
 
   /// Ends an exceeded turn.
   void CheckTurn(steady_clock::time_point now) {
-    if (has_turn_ && (now - last_read_at_ >= kMaxReadSilence ||
-                      now - turn_started_at_ >= kMaxReadTurn))
-      GiveUp();
+    if (!has_turn_ || (now - last_read_at_ < kMaxReadSilence &&
+                       now - turn_started_at_ < kMaxReadTurn))
+      return;
+    server_->options_.memory->CountRefusal();
+    GiveUp();
   }
 
   void ResumeReading() {
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -411,6 +411,27 @@
   EXPECT_TRUE(RunUntil(context_, [&] { return requests_.size() >= 4; }));
 }
 
+// Requests that stop short of their end must not stop others until their
+// timeouts.
+TEST_F(HttpServerTest, SilentRequestsDoNotStopALargeOneIfMemoryIsScarce) {
+  constexpr std::size_t kBodyBytes = 300 << 10;
+  const std::string head =
+      "POST /short HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+      std::to_string(kBodyBytes) + "\r\n\r\n";
+  StartWithMemory(1 << 20);
+  std::vector<RawPeer> silent;
+  for (int i = 0; i < 8; ++i) {
+    silent.push_back(Connect());
+    silent.back().Send(head + std::string(kBodyBytes / 2, 'x'));
+  }
+  ASSERT_TRUE(RunUntil(context_, [&] { return account_->is_high(); }));
+  RawPeer complete = Connect();
+  complete.Send(head + std::string(kBodyBytes, 'x'));
+  EXPECT_TRUE(RunUntil(context_, [&] { return requests_.size() == 1; }));
+  EXPECT_TRUE(complete.Expect("HTTP/1.1 200"));
+  EXPECT_GT(account_->refusals(), 0U);
+}
+
 // Only the largest requests are refused, and truly: they do not run.
 TEST_F(HttpServerTest, RefusesALargeRequestAndServesASmallOneWithoutMemory) {
   StartWithMemory(256 << 10);
