--- a/test/route_node/tenant_test.cc
+++ b/test/route_node/tenant_test.cc
@@ -27,8 +27,9 @@
       std::cout << deployment_.CollectDiagnostics();
   }
 
-  // Puts a document in which the route to `stock` of the host shop.example
-  // needs a key and that of open.example does not.
+  // Puts a document in which the route to `stock` of the host keyed.example
+  // needs a key and that of open.example does not. The document of the
+  // deployment has neither, so that an answer shows that this one is in force.
   void PutDocument(unsigned version, const std::string& tenants) {
     const auto listener = [](const char* host, bool is_public) {
       return fmt::format(
@@ -41,7 +42,7 @@
         "op", "config",
         fmt::format(
             R"({{"version":"r{}","tenants":[{}],"listeners":[{},{}],"clusters":[]}})",
-            version, tenants, listener("shop.example", false),
+            version, tenants, listener("keyed.example", false),
             listener("open.example", true)));
   }
 
@@ -58,7 +59,7 @@
   }
 
   bool WaitForStatus(const std::string& key, std::uint16_t status) {
-    return bench::WaitFor([&] { return Send("shop.example", key) == status; },
+    return bench::WaitFor([&] { return Send("keyed.example", key) == status; },
                           kTestTimeout);
   }
 
@@ -71,12 +72,12 @@
 TEST_F(TenantTest, AWithdrawnKeyIsRefusedAlsoWhileTheStoreIsSilent) {
   PutDocument(2, R"({"name":"a","api_keys":["k1","k2"]})");
   EXPECT_TRUE(WaitForStatus("k1", 200));
-  EXPECT_EQ(Send("shop.example", ""), 401);
-  EXPECT_EQ(Send("shop.example", "other"), 401);
+  EXPECT_EQ(Send("keyed.example", ""), 401);
+  EXPECT_EQ(Send("keyed.example", "other"), 401);
   EXPECT_EQ(Send("open.example", ""), 200);
   PutDocument(3, R"({"name":"a","api_keys":["k2"]})");
   EXPECT_TRUE(WaitForStatus("k1", 401));
-  EXPECT_EQ(Send("shop.example", "k2"), 200);
+  EXPECT_EQ(Send("keyed.example", "k2"), 200);
   // Nodes can't tell any more whether a key has been withdrawn.
   deployment_.store().SetMode(platform::standin::Store::Mode::kSilent);
   EXPECT_TRUE(WaitForStatus("k2", 503));
@@ -94,7 +95,7 @@
   // More than the quota allows in any time in which they can be sent.
   EXPECT_TRUE(WaitForStatus("k1", 429));
   // The quota of one tenant does not bound another, and it is refilled.
-  EXPECT_EQ(Send("shop.example", "k2"), 200);
+  EXPECT_EQ(Send("keyed.example", "k2"), 200);
   EXPECT_TRUE(WaitForStatus("k1", 200));
 }
 
