--- a/include/sesamespread/coordination/row_store.h
+++ b/include/sesamespread/coordination/row_store.h
@@ -49,6 +49,9 @@
   /// Reading of the store's monotonic clock at that point; nullopt if not
   /// stated.
   std::optional<state::Duration> store_time;
+  /// Why the stated reading can't be used; empty if it can, or if there is
+  /// none.
+  std::string clock_error;
   /// Local time before the request was sent, so that the reading is later.
   state::Instant requested_at{};
   /// The store no longer has the changes after the requested version, so the
--- a/include/sesamespread/state/configuration.h
+++ b/include/sesamespread/state/configuration.h
@@ -165,6 +165,10 @@
 /// nullopt for anything else and for more than a day.
 std::optional<Duration> ParseDecimalDuration(std::string_view text);
 
+/// Parses a reading of a clock, a decimal number with the unit "ms" or "s".
+/// \returns nullopt for anything else and for more than kMaxClockReading.
+std::optional<Duration> ParseClockReading(std::string_view text);
+
 /// The shortest text that ParseDuration parses back to \p duration.
 std::string FormatDuration(Duration duration);
 
--- a/include/sesamespread/state/time.h
+++ b/include/sesamespread/state/time.h
@@ -21,6 +21,11 @@
 /// compare the wall clocks of different hosts.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, Duration>;
 
+/// Greatest reading of another system's clock that is used: 36,500 years, so
+/// that sums and differences of readings and instants can't overflow. Unlike a
+/// duration in a setting, a reading grows with the age of that system.
+constexpr Duration kMaxClockReading{std::int64_t{1} << 60};
+
 /// Milliseconds from 1970-01-01 00:00 UTC to \p time; 0 for earlier times.
 inline std::uint64_t WallMilliseconds(WallTime time) {
   const auto since =
--- a/include/sesamespread/transport/metrics.h
+++ b/include/sesamespread/transport/metrics.h
@@ -35,6 +35,7 @@
   double store_age_seconds = 0;
   double store_era = 0;
   double store_version = 0;
+  double store_clock_errors = 0;
   double report_age_seconds = 0;
   double log_lines_lost = 0;
   double memory_held_bytes = 0;
--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -132,9 +132,8 @@
 
 // Bounded, so that sums of two of them do not overflow.
 state::Duration FromWireMicros(std::uint64_t micros) {
-  constexpr std::uint64_t kMaxMicros = std::uint64_t{1} << 60;
-  return state::Duration(
-      static_cast<std::int64_t>(std::min(micros, kMaxMicros)));
+  return state::Duration(static_cast<std::int64_t>(std::min(
+      micros, static_cast<std::uint64_t>(state::kMaxClockReading.count()))));
 }
 
 // --- Encoding of messages --------------------------------------------------
--- a/lib/state/configuration.cc
+++ b/lib/state/configuration.cc
@@ -406,12 +406,10 @@
 // One day, so that sums of durations can't overflow.
 constexpr std::int64_t kMaxDurationUs = 86'400'000'000;
 
-}  // namespace
-
-std::optional<Duration> ParseDecimalDuration(std::string_view text) {
+// Parses a decimal number with the unit "ms" or "s", up to \p max.
+std::optional<Duration> ParseDecimalTime(std::string_view text, Duration max) {
   constexpr double kMicrosPerMilli = 1'000;
   constexpr double kMicrosPerSecond = 1'000'000;
-  constexpr double kMaxMicros = 86'400'000'000;
   const std::size_t unit = text.find_first_not_of("0123456789.");
   if (unit == std::string_view::npos || unit == 0)
     return std::nullopt;
@@ -425,11 +423,21 @@
     return std::nullopt;
   const double micros =
       number * (name == "s" ? kMicrosPerSecond : kMicrosPerMilli);
-  if (micros > kMaxMicros)
+  if (micros > static_cast<double>(max.count()))
     return std::nullopt;
   return Duration(static_cast<std::int64_t>(micros));
 }
 
+}  // namespace
+
+std::optional<Duration> ParseDecimalDuration(std::string_view text) {
+  return ParseDecimalTime(text, Duration(kMaxDurationUs));
+}
+
+std::optional<Duration> ParseClockReading(std::string_view text) {
+  return ParseDecimalTime(text, kMaxClockReading);
+}
+
 std::optional<Duration> ParseDuration(std::string_view text) {
   std::int64_t value = 0;
   const char* end = text.data() + text.size();
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -249,6 +249,8 @@
   // The latest era of the store that it or a peer has stated; 0 before.
   std::uint64_t store_era_ = 0;
   coordination::StoreClock store_clock_;
+  // Replies whose reading of the store's clock could not be used.
+  std::uint64_t store_clock_errors_ = 0;
   coordination::DocumentFreshness document_freshness_;
   // Whether the API keys of the document were accepted at the last check.
   bool were_keys_current_ = false;
--- a/lib/transport/route_node_lifecycle.cc
+++ b/lib/transport/route_node_lifecycle.cc
@@ -107,6 +107,7 @@
   gauges.store_era = static_cast<double>(store_era_);
   gauges.store_version =
       static_cast<double>(document_watch_.position().version);
+  gauges.store_clock_errors = static_cast<double>(store_clock_errors_);
   gauges.report_age_seconds =
       age(std::max(registry_.reported_at(), started_at_));
   gauges.memory_held_bytes = static_cast<double>(memory_.held());
--- a/lib/transport/route_node_tables.cc
+++ b/lib/transport/route_node_tables.cc
@@ -243,7 +243,12 @@
 }
 
 void RouteNode::Impl::ReadStoreClock(const coordination::RowsReply& reply) {
-  if (reply.status == coordination::StoreStatus::kDone && reply.store_time)
+  if (reply.status != coordination::StoreStatus::kDone)
+    return;
+  if (!reply.clock_error.empty() && store_clock_errors_++ == 0)
+    Log(LogLevel::kWarning, "store_clock_unreadable",
+        {{"detail", reply.clock_error}});
+  if (reply.store_time)
     store_clock_.OnReading({reply.era, *reply.store_time}, reply.requested_at,
                            Now());
 }
--- a/test/route_node/deployment.cc
+++ b/test/route_node/deployment.cc
@@ -129,7 +129,7 @@
       directory_ + "/" + host.name + ".log", node_output_);
 }
 
-void RouteDeployment::PutRoutes(unsigned version, bool with_stock) {
+void RouteDeployment::PutRoutes(std::uint64_t version, bool with_stock) {
   std::string listeners =
       MakeListenerJson("shop", "safe", "shop", options_.read_priority);
   if (with_stock)
@@ -143,6 +143,13 @@
                   version, listeners));
 }
 
+bool RouteDeployment::IsInForce(std::uint64_t version) {
+  return std::all_of(hosts_.begin(), hosts_.end(), [&](const RouteHost& host) {
+    return !host.node || MetricOf(host, "sesamespread_configuration_version") ==
+                             static_cast<double>(version);
+  });
+}
+
 bool RouteDeployment::IsReady(const RouteHost& host) {
   return bench::Get(host.ready, "/api/ready").status == 200;
 }
--- a/test/route_node/deployment.h
+++ b/test/route_node/deployment.h
@@ -88,7 +88,9 @@
   void KillNode(RouteHost& host) { host.node.reset(); }
   /// Writes the routes to the store with \p version, without the routes to
   /// `stock` if \p with_stock is false.
-  void PutRoutes(unsigned version, bool with_stock = true);
+  void PutRoutes(std::uint64_t version, bool with_stock = true);
+  /// Whether \p version of the routes is in force at all running nodes.
+  bool IsInForce(std::uint64_t version);
   /// Whether all running nodes are ready and each lists the servers of all
   /// nodes.
   bool IsServing();
--- a/test/route_node/restored_store_test.cc
+++ b/test/route_node/restored_store_test.cc
@@ -51,16 +51,6 @@
       store().Put("unrelated", std::to_string(i), "value");
   }
 
-  bool IsInForce(unsigned version) {
-    for (const RouteHost& host : deployment_.hosts()) {
-      if (host.node &&
-          deployment_.MetricOf(host, "sesamespread_configuration_version") !=
-              version)
-        return false;
-    }
-    return true;
-  }
-
   RouteDeployment deployment_;
 };
 
@@ -70,14 +60,15 @@
   store().SaveCopy();
   WriteUnrelatedRows(20);
   deployment_.PutRoutes(2);
-  ASSERT_TRUE(bench::WaitFor([this] { return IsInForce(2); }, kTestTimeout));
+  ASSERT_TRUE(bench::WaitFor([this] { return deployment_.IsInForce(2); },
+                             kTestTimeout));
   for (unsigned version = 3; version < 6; ++version) {
     store().Restore();
     deployment_.PutRoutes(version);
     const state::Instant confirmed = transport::Now();
     WriteUnrelatedRows(30);
-    EXPECT_TRUE(
-        bench::WaitFor([&] { return IsInForce(version); }, kRoutesBound))
+    EXPECT_TRUE(bench::WaitFor([&] { return deployment_.IsInForce(version); },
+                               kRoutesBound))
         << "version " << version;
     EXPECT_LT(transport::Now() - confirmed, kRoutesBound);
   }
--- a/test/route_node/tenant_test.cc
+++ b/test/route_node/tenant_test.cc
@@ -86,6 +86,19 @@
   EXPECT_TRUE(WaitForStatus("k2", 200));
 }
 
+// Guards against keys that are refused because the store's clock is past the
+// greatest duration that a setting may have.
+TEST_F(TenantTest, KeysAreAcceptedPastADayOfTheStoresClock) {
+  deployment_.store().SetClock(
+      [] { return platform::standin::ClockText(std::chrono::hours(24)); });
+  PutDocument(2, R"({"name":"a","api_keys":["k1"]})");
+  EXPECT_TRUE(WaitForStatus("k1", 200));
+  // Longer than the bound, so that only later readings show the key's validity.
+  bench::WaitFor([&] { return Send("keyed.example", "k1") != 200; },
+                 std::chrono::seconds(3));
+  EXPECT_EQ(Send("keyed.example", "k1"), 200);
+}
+
 // Guards against quotas that real nodes do not apply, or apply to each node
 // alone.
 TEST_F(TenantTest, RequestsBeyondTheQuotaGet429) {
--- a/unittests/state/configuration_test.cc
+++ b/unittests/state/configuration_test.cc
@@ -119,6 +119,8 @@
   EXPECT_EQ(ParseDuration("250ms"), std::chrono::milliseconds(250));
   EXPECT_EQ(ParseDuration("250"), std::nullopt);
   EXPECT_EQ(ParseDuration("99999999999999m"), std::nullopt);
+  EXPECT_EQ(ParseDecimalDuration("2.5s"), std::chrono::milliseconds(2500));
+  EXPECT_EQ(ParseDecimalDuration("86401s"), std::nullopt);
   EXPECT_EQ(FormatDuration(std::chrono::seconds(90)), "90s");
 }
 
