--- a/lib/protocol/codec.cc
+++ b/lib/protocol/codec.cc
@@ -422,17 +422,14 @@
       static_cast<state::BackendState>(body.backend_state());
   message.configuration_version = body.configuration_version();
   message.detail = ToString(body.detail());
-  constexpr std::uint64_t kMaxTimeUs = 86'400'000'000;
-  if (body.wait_us() > kMaxTimeUs || body.service_time_us() > kMaxTimeUs)
-    return std::nullopt;
   message.queued = body.queued();
   message.calls_made = body.calls_made();
   message.work_time = state::Duration(body.work_time_us());
   message.work_factor_percent = body.work_factor_percent();
-  message.expected_wait =
-      state::Duration(static_cast<std::int64_t>(body.wait_us()));
-  message.service_time =
-      state::Duration(static_cast<std::int64_t>(body.service_time_us()));
+  // The clock includes the time that the host is suspended, so that these times
+  // are not bounded by those of requests.
+  message.expected_wait = FromWireMicros(body.wait_us());
+  message.service_time = FromWireMicros(body.service_time_us());
   return message;
 }
 
--- a/unittests/protocol/codec_test.cc
+++ b/unittests/protocol/codec_test.cc
@@ -84,6 +84,17 @@
       gossip);
 }
 
+// Guards against answers, and so links, that are lost because a host was
+// suspended for more than a day.
+TEST(CodecTest, RoundTripsTimesOfASuspendedHost) {
+  CallAnswer answer;
+  answer.expected_wait = std::chrono::hours(25);
+  answer.service_time = std::chrono::hours(24 * 365);
+  const auto decoded = DecodePayload(PayloadOf(EncodeFrame(answer)));
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(*decoded, PeerMessage(answer));
+}
+
 TEST(CodecTest, RoundTripsCrashReports) {
   for (const PeerMessage& message :
        {PeerMessage(CrashReport{9, {1, ~0ULL}}), PeerMessage(CrashReport{}),
