Take an answer without length for truncated if a write met the reset

What callers saw: a server answered a long upload at once with a 200 without length, sent a part of its body and reset the connection while the node still wrote the request. The caller got that part as a complete answer with a Content-Length.

Cause: the kernel reports a reset once, to the call that comes first. While the request was being written, that was the write, whose error was ignored; the read after it returned the end of the stream, which ends an answer without length. The write was made by the event loop, so that its error could also be delivered after that read.

Change: the client waits until the socket is writable and writes itself, and remembers the error of a write. After a reset, the end of the stream does not complete an answer. EPIPE as the first error means that the FIN arrived before the reset, so that an answer that ended in an orderly way stays a whole one, also if the server then closes without reading the rest. An answer with a length, or in chunks, is still delivered before the request is written.

Evidence: EarlyAnswerTest.AResetWhileTheRequestIsWrittenTruncatesTheAnswer failed in 40 of 40 cases before, and passes.

--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -239,6 +239,7 @@
     header_ = SerializeHeader(call->request, pool_->endpoint);
     body_ = std::move(call->request.body);
     written_ = 0;
+    write_error_ = {};
     error_code error;
     const std::size_t size = socket_.write_some(UnsentBuffers(), error);
     if (error && error != boost::asio::error::would_block) {
@@ -250,7 +251,8 @@
     call->sent_at = Now();
     interim_answers_ = 0;
     ResetParser();
-    OnWritten({}, size);
+    written_ = size;
+    AwaitWritable();
     return true;
   }
 
@@ -322,19 +324,37 @@
 
   bool is_written() const { return written_ == header_.size() + body_.size(); }
 
-  void OnWritten(const error_code& error, std::size_t size) {
-    // After a write error the call ends with the next read, because the other
-    // end may have sent an answer before it closed the connection.
-    if (closed_ || error)
-      return;
-    written_ += size;
+  /// Writes the rest of the request as the socket takes it. Each write is made
+  /// here and not by the reactor, so that its error is known before the next
+  /// read.
+  void AwaitWritable() {
     if (is_written())
       return;
-    socket_.async_write_some(
-        UnsentBuffers(), [self = shared_from_this()](
-                             const error_code& write_error, std::size_t more) {
-          self->OnWritten(write_error, more);
-        });
+    socket_.async_wait(tcp::socket::wait_write,
+                       [self = shared_from_this()](const error_code& error) {
+                         if (!error && !self->closed_ && self->call_)
+                           self->WriteMore();
+                       });
+  }
+
+  void WriteMore() {
+    error_code error;
+    written_ += socket_.write_some(UnsentBuffers(), error);
+    if (!error || error == boost::asio::error::would_block) {
+      AwaitWritable();
+      return;
+    }
+    // The call ends with a later read, because the other end may have sent an
+    // answer before it closed the connection.
+    write_error_ = error;
+  }
+
+  /// Whether the other end has closed the connection in an orderly way, given
+  /// that a read has returned the end of the stream. The kernel reports a reset
+  /// once: if a write has met it, reads return the end of the stream. A write
+  /// error other than EPIPE means that no FIN came before the reset.
+  bool HasOrderlyEnd() const {
+    return !write_error_ || write_error_ == boost::asio::error::broken_pipe;
   }
 
   void OnReadable(error_code error) {
@@ -366,7 +386,7 @@
   void OnReadError(const error_code& error) {
     const bool is_complete = error == boost::asio::error::eof &&
                              client_->options_.accept_close_delimited &&
-                             parser_->FinishAtEof();
+                             HasOrderlyEnd() && parser_->FinishAtEof();
     if (is_complete && AnswerMatchesRequest())
       Complete();
     else
@@ -519,6 +539,8 @@
   std::string header_;
   std::string body_;
   std::size_t written_ = 0;
+  /// The first error of a write of the request; none may follow.
+  error_code write_error_;
   /// The answer that is being received.
   MemoryAccount::Charge charge_;
 };
--- a/test/route_node/raw_backend.cc
+++ b/test/route_node/raw_backend.cc
@@ -64,6 +64,18 @@
   socket_.close(ignored);
 }
 
+void RawConnection::CloseAfterNode() {
+  error_code error;
+  socket_.shutdown(tcp::socket::shutdown_send, error);
+  char bytes[4096];
+  while (!error && WaitFor(socket_.native_handle(), POLLIN, stopping_)) {
+    socket_.read_some(boost::asio::buffer(bytes), error);
+    if (error == boost::asio::error::would_block)
+      error = {};
+  }
+  Close(/*reset=*/false);
+}
+
 RawBackend::RawBackend(const state::Endpoint& listen,
                        std::string instance,
                        Handler handler)
--- a/test/route_node/raw_backend.h
+++ b/test/route_node/raw_backend.h
@@ -30,6 +30,9 @@
   bool Write(std::string_view bytes);
   /// Closes the connection with a FIN, or with a RST if \p reset is set.
   void Close(bool reset);
+  /// Sends a FIN, and closes the connection once the node has closed it. Unread
+  /// bytes would turn an earlier close into a reset.
+  void CloseAfterNode();
   /// Requests received on this connection.
   std::size_t request_count() const { return request_count_; }
   void CountRequest() { ++request_count_; }
--- a/unittests/transport/http_client_test.cc
+++ b/unittests/transport/http_client_test.cc
@@ -509,6 +509,82 @@
   EXPECT_EQ(Outcome(index).kind, HttpOutcomeKind::kTruncated);
 }
 
+// Starts to answer an upload that does not fit into the buffers of its
+// connection.
+class EarlyAnswerTest : public PlatformHttpClientTest {
+ protected:
+  static constexpr std::size_t kUploadBytes = 16 << 20;
+
+  // Sends an upload and returns the index of its outcome, after the server has
+  // received a part of it.
+  std::size_t StartUpload(RawPeer* peer) {
+    const std::size_t index = outcomes_.size();
+    outcomes_.emplace_back();
+    HttpRequest request;
+    request.method = "POST";
+    request.headers = {{"X-Id", "a"}};
+    request.body = std::string(kUploadBytes, 'x');
+    client_->Send(endpoint(), std::move(request), FromNow(kLongTimeout),
+                  [this, index](HttpOutcome outcome) {
+                    outcomes_[index] = std::move(outcome);
+                  });
+    EXPECT_TRUE(peer->Accept(acceptor_));
+    EXPECT_TRUE(peer->Expect("\r\n\r\n"));
+    return index;
+  }
+};
+
+// Guards against a part of an answer that is delivered as a whole one because
+// the write of the request, and not the read of the answer, meets the reset.
+TEST_F(EarlyAnswerTest, AResetWhileTheRequestIsWrittenTruncatesTheAnswer) {
+  for (const std::string_view body : {"", "abc"}) {
+    for (int polls = 0; polls < 20; ++polls) {
+      RawPeer peer(context_);
+      const std::size_t index = StartUpload(&peer);
+      peer.Send("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n");
+      peer.Send(body);
+      // The client reads the answer, and goes on to write, before the reset.
+      for (int i = 0; i < polls; ++i) {
+        peer.Poll();
+        context_.poll_one();
+      }
+      peer.socket().set_option(boost::asio::ip::tcp::socket::linger(true, 0));
+      peer.socket().close();
+      EXPECT_EQ(Outcome(index).kind, HttpOutcomeKind::kTruncated)
+          << "body '" << body << "', polls " << polls;
+    }
+  }
+}
+
+// Guards against a whole answer that is taken for a truncated one because the
+// server does not read the rest of the request.
+TEST_F(EarlyAnswerTest, AnOrderlyEndWhileTheRequestIsWrittenIsAWholeAnswer) {
+  for (const bool is_reset_afterwards : {false, true}) {
+    RawPeer peer(context_);
+    const std::size_t index = StartUpload(&peer);
+    peer.Send("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nabc");
+    peer.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    // Bytes that have not been read turn the close into a reset.
+    if (is_reset_afterwards)
+      peer.socket().close();
+    const HttpOutcome outcome = Outcome(index);
+    EXPECT_EQ(outcome.kind, HttpOutcomeKind::kAnswered) << is_reset_afterwards;
+    EXPECT_EQ(outcome.response.body, "abc");
+  }
+}
+
+// Guards against a sound answer that is lost because the server still reads the
+// request.
+TEST_F(EarlyAnswerTest,
+       AnAnswerWithALengthIsDeliveredBeforeTheRequestIsWritten) {
+  RawPeer peer(context_);
+  const std::size_t index = StartUpload(&peer);
+  peer.Send("HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 3\r\n\r\nabc");
+  const HttpOutcome outcome = Outcome(index);
+  EXPECT_EQ(outcome.kind, HttpOutcomeKind::kAnswered);
+  EXPECT_EQ(outcome.response.body, "abc");
+}
+
 // A connection whose keep-alive timeout is about to expire must not be reused,
 // because the other end may close it while the request is sent.
 TEST_F(PlatformHttpClientTest, RespectsTheKeepAliveTimeout) {
