Bound the memory that bytes without end take on links and in heads

Cause, found by hundreds of connections at a time: - The buffers of links between nodes were charged, but nothing bounded them: a connection to the peer port could announce a frame of 8 MiB before its first message, and a peer that did not read could fill a send queue of 48 MiB with the replies to its pings and requests. - The account counted the bytes of a head, not the objects of its lines, which take up to 16 times as much for short lines. - The ports for status reports and checks, and health checks, had no account.

Change: - The first frame of a link, a Hello, has at most 4 KiB and has to arrive within 5 s. Links have an account of their own with the bound of the node's memory; above it the link that holds most is closed. No reply to a control message is queued behind 1 MiB of unread frames. - Heads are charged with their lines. - The other ports and health checks are charged to the node's account, with bodies of up to 256 KiB.

--- a/include/sesamespread/transport/inbound_calls.h
+++ b/include/sesamespread/transport/inbound_calls.h
@@ -83,6 +83,7 @@
 
   struct InboundLink {
     std::shared_ptr<PeerLink> link;
+    state::Instant accepted_at;
     // Calls in progress, by the call id that the calling node assigned.
     std::unordered_map<state::CallId, CallExecutor::Handle> calls;
     std::deque<AnswerStream> streams;
@@ -105,6 +106,7 @@
   std::function<std::vector<protocol::PeerMessage>()> initial_messages_;
   std::unordered_map<LinkId, InboundLink> links_;
   LinkId next_link_id_ = 1;
+  state::Instant last_link_check_{};
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   PeerListener listener_;
 };
--- a/include/sesamespread/transport/memory_account.h
+++ b/include/sesamespread/transport/memory_account.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <set>
 #include <tuple>
 #include <vector>
@@ -34,7 +35,13 @@
   std::size_t held() const { return held_; }
   std::size_t bound() const { return bound_; }
   /// Charges that were given up and requests that were refused.
-  std::uint64_t refusals() const { return refusals_; }
+  std::uint64_t refusals() const {
+    return refusals_ + (links_ ? links_->refusals() : 0);
+  }
+  /// Account of the links between nodes alone, with the same bound. A link
+  /// carries the calls of many callers, so that it is given up only if links
+  /// exceed the bound by themselves.
+  MemoryAccount& links();
   /// Counts a refusal for lack of memory that its holder decided.
   void CountRefusal() { ++refusals_; }
 
@@ -72,6 +79,8 @@
   std::set<Rank> ranks_;
   std::vector<std::function<void()>> waiting_;
   bool is_relieving_ = false;
+  // Null until links() is first called.
+  std::unique_ptr<MemoryAccount> links_;
 };
 
 /// The bytes of one holder. Destruction ends the charge.
--- a/include/sesamespread/transport/peer_link.h
+++ b/include/sesamespread/transport/peer_link.h
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <vector>
 
+#include "sesamespread/protocol/codec.h"
 #include "sesamespread/protocol/messages.h"
 #include "sesamespread/state/node_record.h"
 #include "sesamespread/state/time.h"
@@ -37,6 +38,12 @@
 /// largest size fit.
 constexpr std::size_t kMaxQueuedBytes = 48 << 20;
 
+/// Bound on the first frame of a link, a Hello.
+constexpr std::size_t kMaxFirstFrameBytes = 4 << 10;
+
+/// Size of the send queue from which on replies are left out.
+constexpr std::size_t kMaxReplyQueueBytes = 1 << 20;
+
 /// One connection. All calls are made and all callbacks run on the io_context's
 /// thread.
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
@@ -48,9 +55,10 @@
 
   /// Sets the account that is charged with the buffers of the link; null for
   /// none. Called before Start.
-  void SetMemory(MemoryAccount* memory) {
-    charge_ = std::make_unique<MemoryAccount::Charge>(memory);
-  }
+  void SetMemory(MemoryAccount* memory);
+
+  /// Bounds the first frame by kMaxFirstFrameBytes. Called before Start.
+  void ExpectHello() { max_frame_bytes_ = kMaxFirstFrameBytes; }
 
   /// Starts to read. \p on_closed runs once, never inside Send or Close.
   void Start(MessageHandler on_message, ClosedHandler on_closed);
@@ -66,6 +74,11 @@
   /// message is sent then.
   bool Send(const protocol::PeerMessage& message);
 
+  /// Sends the reply to a control message, unless the other end does not read:
+  /// it could otherwise fill the send queue with replies. What is queued shows
+  /// the other end that the link works.
+  void SendReply(const protocol::PeerMessage& message);
+
   /// Closes the link and posts the closed handler with \p reason.
   void Close(const std::string& reason);
 
@@ -92,6 +105,8 @@
   std::uint64_t max_written_bytes() const { return max_written_bytes_; }
 
   bool is_open() const { return open_; }
+  /// Whether a whole frame has been received.
+  bool has_received_frame() const { return has_received_frame_; }
   std::size_t queued_bytes() const { return queued_bytes_; }
 
  private:
@@ -114,6 +129,9 @@
   ClosedHandler on_closed_;
   std::function<void()> on_written_;
   bool open_ = true;
+  bool has_received_frame_ = false;
+  // Bound on the next frame.
+  std::size_t max_frame_bytes_ = protocol::kMaxFrameBytes;
   // Bytes that were read but not handled yet are in [read_begin_, read_end_).
   std::vector<std::uint8_t> read_buffer_;
   std::size_t read_begin_ = 0;
@@ -128,8 +146,11 @@
   std::vector<std::string> writing_;
   // Sum of the sizes of queue_ and writing_.
   std::size_t queued_bytes_ = 0;
-  // The buffers and the queue; null without an account.
+  // The buffers and the queue, in the node's account and in that of its links;
+  // null without an account.
   std::unique_ptr<MemoryAccount::Charge> charge_;
+  std::unique_ptr<MemoryAccount::Charge> link_charge_;
+  MemoryAccount* memory_ = nullptr;
   std::uint64_t added_bytes_ = 0;
   // Counts the bytes of writing_ as written until the write has ended.
   std::uint64_t max_written_bytes_ = 0;
--- a/lib/transport/http_wire.h
+++ b/lib/transport/http_wire.h
@@ -88,9 +88,12 @@
   Message& message() { return message_; }
 
   std::size_t header_bytes() const { return header_bytes_; }
-  /// Bytes of the message so far.
+  /// Memory of the message so far. The objects of short header lines take more
+  /// than their bytes.
   std::size_t held_bytes() const {
-    return header_bytes_ + message_.body.size();
+    return header_bytes_ +
+           message_.headers.capacity() * sizeof(protocol::Header) +
+           message_.body.size();
   }
 
   /// Why the message is malformed.
--- a/lib/transport/inbound_calls.cc
+++ b/lib/transport/inbound_calls.cc
@@ -14,6 +14,10 @@
 // How often links with queued bytes are checked for silence.
 constexpr state::Duration kLinkCheckInterval = std::chrono::milliseconds(100);
 
+// Time within which the first message is expected on a link. Nodes send it as
+// soon as the link is open.
+constexpr state::Duration kFirstMessageTimeout = std::chrono::seconds(5);
+
 }  // namespace
 
 InboundCalls::InboundCalls(boost::asio::io_context& context,
@@ -60,7 +64,9 @@
   }
   const LinkId id = next_link_id_++;
   links_[id].link = link;
+  links_[id].accepted_at = Now();
   link->SetMemory(memory_);
+  link->ExpectHello();
   link->Start(
       [this, id, alive = alive_](protocol::PeerMessage message) {
         if (*alive)
@@ -106,7 +112,7 @@
                   return;
                 const auto found = links_.find(id);
                 if (found != links_.end())
-                  found->second.link->Send(reply);
+                  found->second.link->SendReply(reply);
               });
 }
 
@@ -195,8 +201,15 @@
 
 void InboundCalls::CheckLinks() {
   const state::Instant now = Now();
-  for (auto& [id, link] : links_)
+  // After a pause of this process, received data may wait in the sockets.
+  const bool was_paused = now - last_link_check_ > 3 * kLinkCheckInterval;
+  last_link_check_ = now;
+  for (auto& [id, link] : links_) {
     link.link->CheckLiveness(now, link.link->queued_bytes() > 0);
+    if (!was_paused && !link.link->has_received_frame() &&
+        now - link.accepted_at >= kFirstMessageTimeout)
+      link.link->Close("no message on the link");
+  }
   deadlines_.Schedule(now + kLinkCheckInterval, [this] { CheckLinks(); });
 }
 
--- a/lib/transport/memory_account.cc
+++ b/lib/transport/memory_account.cc
@@ -42,6 +42,12 @@
   return false;
 }
 
+MemoryAccount& MemoryAccount::links() {
+  if (!links_)
+    links_ = std::make_unique<MemoryAccount>(bound_);
+  return *links_;
+}
+
 void MemoryAccount::Relieve() {
   while (held_ > bound_ && !ranks_.empty() && !is_relieving_)
     RelieveLargest();
--- a/lib/transport/outbound_calls.cc
+++ b/lib/transport/outbound_calls.cc
@@ -221,6 +221,7 @@
   session.in_flight = 0;
   std::weak_ptr<PeerLink> weak = link;
   link->SetMemory(memory_);
+  link->ExpectHello();
   link->Start(
       [this, node, weak, alive = alive_](protocol::PeerMessage message) {
         const auto locked = weak.lock();
--- a/lib/transport/peer_link.cc
+++ b/lib/transport/peer_link.cc
@@ -39,6 +39,16 @@
   socket_.set_option(tcp::no_delay(true), ignored);
 }
 
+void PeerLink::SetMemory(MemoryAccount* memory) {
+  memory_ = memory;
+  if (!memory)
+    return;
+  charge_ = std::make_unique<MemoryAccount::Charge>(memory);
+  link_charge_ = std::make_unique<MemoryAccount::Charge>(
+      &memory->links(),
+      [this] { Close("the links hold too many bytes, this one the most"); });
+}
+
 void PeerLink::Start(MessageHandler on_message, ClosedHandler on_closed) {
   on_message_ = std::move(on_message);
   on_closed_ = std::move(on_closed);
@@ -58,11 +68,18 @@
   added_bytes_ += frame.size();
   queue_.push_back(std::move(frame));
   UpdateCharge();
+  if (!open_)
+    return false;
   if (writing_.empty())
     WriteNext();
   return true;
 }
 
+void PeerLink::SendReply(const protocol::PeerMessage& message) {
+  if (queued_bytes_ < kMaxReplyQueueBytes)
+    Send(message);
+}
+
 std::string PeerLink::CompressFrame(std::string_view frame) {
   const std::string payload =
       compressor_->Compress(frame.substr(protocol::kFrameHeaderBytes));
@@ -144,7 +161,7 @@
     const std::uint32_t header =
         protocol::DecodeFrameLength(bytes.first(protocol::kFrameHeaderBytes));
     const std::uint32_t size = header & ~kCompressedFlag;
-    if (size == 0 || size > protocol::kMaxFrameBytes) {
+    if (size == 0 || size > max_frame_bytes_) {
       Close("frame length out of bounds");
       return;
     }
@@ -193,10 +210,18 @@
 }
 
 void PeerLink::UpdateCharge() {
-  if (charge_)
-    charge_->Set(open_ ? queued_bytes_ + read_buffer_.capacity() +
-                             payload_.capacity()
-                       : 0);
+  if (!memory_)
+    return;
+  const std::size_t held =
+      open_ ? queued_bytes_ + read_buffer_.capacity() + payload_.capacity() : 0;
+  if (held == charge_->bytes())
+    return;
+  charge_->Set(held);
+  // Of links of one size, those that have never sent a message go first.
+  const auto last_progress =
+      has_received_frame_ ? last_received_ : state::Instant{};
+  link_charge_->Set(held, /*can_give_up=*/open_, last_progress);
+  memory_->links().Relieve();
 }
 
 bool PeerLink::OnPayload(std::span<const std::uint8_t> payload,
@@ -220,9 +245,11 @@
     Close("frame is not a valid message");
     return false;
   }
+  has_received_frame_ = true;
+  max_frame_bytes_ = protocol::kMaxFrameBytes;
   ping_outstanding_ = false;
   if (const auto* ping = std::get_if<protocol::Ping>(&*message))
-    Send(protocol::Pong{ping->token});
+    SendReply(protocol::Pong{ping->token});
   else if (on_message_)
     on_message_(std::move(*message));
   return open_;
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -49,6 +49,13 @@
 /// Bound on the answers that callers have yet to read together.
 constexpr std::size_t kMaxCallerUnsentBytes = 32 << 20;
 
+/// Bound on the body of a status report or of the answer to a health check,
+/// which have some hundred bytes.
+constexpr std::uint64_t kMaxReportBytes = 256 << 10;
+
+/// Bound on the reports that are being received together.
+constexpr std::size_t kMaxControlReceivedBytes = 4 << 20;
+
 /// Part of the revocation timeout that is kept for the resolution and the drift
 /// of the clocks.
 constexpr Duration kRevocationMargin = milliseconds(500);
@@ -74,6 +81,23 @@
   return options;
 }
 
+// Options of the servers for the backend server's reports and the platform's
+// checks.
+HttpServerOptions ControlServerOptions(MemoryAccount* memory) {
+  HttpServerOptions options;
+  options.memory = memory;
+  options.max_body_bytes = kMaxReportBytes;
+  options.max_received_bytes = kMaxControlReceivedBytes;
+  return options;
+}
+
+HttpClientOptions HealthClientOptions(MemoryAccount* memory) {
+  HttpClientOptions options;
+  options.memory = memory;
+  options.max_body_bytes = kMaxReportBytes;
+  return options;
+}
+
 state::NodeRecord MakeOwnRecord(const state::RouteNodeSettings& settings,
                                 std::uint64_t seed) {
   state::NodeRecord record;
@@ -182,7 +206,7 @@
           log_),
       registry_(settings.backend),
       store_(interface_.open_store(context_)),
-      health_client_(context_, HttpClientOptions{}),
+      health_client_(context_, HealthClientOptions(&memory_)),
       inbound_(
           context_,
           settings.listen.peer,
@@ -200,13 +224,13 @@
                     }),
       report_server_(context_,
                      settings.listen.reports,
-                     HttpServerOptions{},
+                     ControlServerOptions(&memory_),
                      [this](const std::shared_ptr<HttpExchange>& exchange) {
                        HandleReport(exchange);
                      }),
       ready_server_(context_,
                     settings.listen.ready,
-                    HttpServerOptions{},
+                    ControlServerOptions(&memory_),
                     [this](const std::shared_ptr<HttpExchange>& exchange) {
                       HandleReady(exchange);
                     }),
--- a/test/route_node/deployment.cc
+++ b/test/route_node/deployment.cc
@@ -44,6 +44,15 @@
 
 }  // namespace
 
+long PeakKib(pid_t pid) {
+  std::ifstream status(fmt::format("/proc/{}/status", pid));
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind("VmHWM:", 0) == 0)
+      return std::stol(line.substr(6));
+  }
+  return 0;
+}
+
 RouteDeployment::RouteDeployment(const RouteDeploymentOptions& options)
     : options_(options),
       node_output_(options.has_proxies || options.keeps_logs
@@ -100,6 +109,7 @@
   options.reports = host.reports;
   options.downstream_host =
       host.service == kCallingService ? "stock.example" : "";
+  options.slots = options_.slots;
   options.max_body_bytes = options_.max_body_bytes;
   options.long_answer_bytes = options_.long_answer_bytes;
   host.backend.reset();
--- a/test/route_node/deployment.h
+++ b/test/route_node/deployment.h
@@ -4,6 +4,8 @@
 #ifndef SESAMESPREAD_TEST_ROUTE_NODE_DEPLOYMENT_H_
 #define SESAMESPREAD_TEST_ROUTE_NODE_DEPLOYMENT_H_
 
+#include <sys/types.h>
+
 #include <chrono>
 #include <cstdint>
 #include <future>
@@ -28,11 +30,17 @@
 /// The shadow memory and the quarantine of the address sanitizer count as
 /// memory of the node.
 constexpr long kMaxNodeMemoryKib = std::numeric_limits<long>::max();
+constexpr long kMaxPeakKib = std::numeric_limits<long>::max();
 #else
 /// Memory of the smallest hosts.
 constexpr long kMaxNodeMemoryKib = 160 << 10;
+/// Peak of the resident memory: two thirds of the memory of the smallest hosts.
+constexpr long kMaxPeakKib = 107 << 10;
 #endif
 
+/// The peak of the resident memory in KiB; 0 if the process has ended.
+long PeakKib(pid_t pid);
+
 /// A host of the deployment: a backend server and the node beside it.
 struct RouteHost {
   std::string name;
@@ -64,6 +72,7 @@
   /// Lines that are added to the settings of each node.
   std::string settings = {};
   /// See platform::standin::BackendOptions.
+  unsigned slots = 8;
   std::uint64_t max_body_bytes = 1 << 20;
   std::size_t long_answer_bytes = 0;
 };
--- a/test/route_node/hard_load_test.cc
+++ b/test/route_node/hard_load_test.cc
@@ -11,9 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -53,13 +51,6 @@
 constexpr std::size_t kSlowReaders = 48;
 constexpr std::size_t kOrderingClients = 14;
 
-/// Peak of the resident memory: two thirds of the memory of the smallest hosts.
-#ifdef __SANITIZE_ADDRESS__
-constexpr long kMaxPeakKib = std::numeric_limits<long>::max();
-#else
-constexpr long kMaxPeakKib = 107 << 10;
-#endif
-
 /// Descriptors that a node needs beside those of its callers.
 constexpr std::size_t kOwnDescriptors = 100;
 
@@ -147,16 +138,6 @@
   return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
 }
 
-// The peak of the resident memory in KiB; 0 if the process has ended.
-long PeakKib(pid_t pid) {
-  std::ifstream status(fmt::format("/proc/{}/status", pid));
-  for (std::string line; std::getline(status, line);) {
-    if (line.rfind("VmHWM:", 0) == 0)
-      return std::stol(line.substr(6));
-  }
-  return 0;
-}
-
 class HardLoadTest : public ::testing::Test {
  protected:
   void SetUp() override { ASSERT_TRUE(deployment_.WaitUntilServing()); }
