Suspect servers that send answers without end, and say what was wrong

Cause: an answer that exceeds its bound was a neutral result for the router, so that a server that sends bytes without end went on getting its share of the calls. The log said that an answer was malformed or too large, not why.

Change: kAnswerTooLarge counts as a failure of the server. The outcome of an HTTP call has a detail, which the log lines of the call and of the request contain: which part exceeded which bound, what the parser rejected, or how the connection ended.

Evidence: FailingServerTest with kAnswerTooLarge: 201 of 1,000 calls failed before, 20 are allowed; the same test with kTruncatedAnswer, the only code that it had, and with kBadBackendAnswer passed before, too.

--- a/include/sesamespread/transport/http_client.h
+++ b/include/sesamespread/transport/http_client.h
@@ -68,6 +68,9 @@
   /// True if the request was written to a connection that had carried an
   /// earlier request.
   bool reused_connection = false;
+  /// What was wrong with the bytes that were received; empty if `kind` tells
+  /// it.
+  std::string detail;
   /// Meaningful only if `kind` is kAnswered.
   HttpResponse response;
 };
--- a/lib/coordination/routing.cc
+++ b/lib/coordination/routing.cc
@@ -51,6 +51,7 @@
     case ResultCode::kDigestMismatch:
     case ResultCode::kBadBackendAnswer:
     case ResultCode::kBadFrame:
+    case ResultCode::kAnswerTooLarge:
       return OutcomeClass::kFailure;
     default:
       return OutcomeClass::kNeutral;
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -442,16 +442,19 @@
         if (broken_calls_.size() > kMaxBrokenCalls)
           broken_calls_.pop_front();
       }
-      return failed(ResultCode::kTruncatedAnswer, RunState::kUnknown,
-                    outcome.reused_connection
-                        ? "a reused connection ended before the whole answer"
-                        : "the connection ended before the whole answer");
+      return failed(
+          ResultCode::kTruncatedAnswer, RunState::kUnknown,
+          fmt::format("{} connection ended before the whole answer: {}",
+                      outcome.reused_connection ? "a reused" : "the",
+                      outcome.detail));
     case HttpOutcomeKind::kTooLarge:
-      return failed(ResultCode::kAnswerTooLarge, RunState::kRan,
-                    "the answer exceeds the bound");
+      return failed(
+          ResultCode::kAnswerTooLarge, RunState::kRan,
+          fmt::format("the answer exceeds the bound: {}", outcome.detail));
     case HttpOutcomeKind::kMalformed:
-      return failed(ResultCode::kBadBackendAnswer, RunState::kUnknown,
-                    "the answer is not valid HTTP");
+      return failed(
+          ResultCode::kBadBackendAnswer, RunState::kUnknown,
+          fmt::format("the answer is not valid HTTP: {}", outcome.detail));
     case HttpOutcomeKind::kCancelled:
       break;
   }
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -390,7 +390,8 @@
     if (is_complete && AnswerMatchesRequest())
       Complete();
     else
-      Fail(HttpOutcomeKind::kTruncated);
+      Fail(HttpOutcomeKind::kTruncated,
+           (HasOrderlyEnd() ? error : write_error_).message());
   }
 
   /// False if the parsed answer carries the id of another request.
@@ -433,7 +434,7 @@
       const bool unexpected = parser_->message().status == 101 ||
                               ++interim_answers_ > kMaxInterimAnswers;
       if (unexpected) {
-        Fail(HttpOutcomeKind::kMalformed);
+        Fail(HttpOutcomeKind::kMalformed, "too many interim answers");
         return;
       }
       ResetParser();
@@ -453,11 +454,16 @@
           LimitBodies();
         return;
       case wire::ParseStatus::kMalformed:
-        Fail(HttpOutcomeKind::kMalformed);
+        Fail(HttpOutcomeKind::kMalformed, parser_->detail());
         return;
       case wire::ParseStatus::kHeaderTooLarge:
+        Fail(HttpOutcomeKind::kTooLarge,
+             parser_->is_header_done()
+                 ? "a chunk header or the trailers exceed the bound of a head"
+                 : "the head exceeds its bound");
+        return;
       case wire::ParseStatus::kBodyTooLarge:
-        Fail(HttpOutcomeKind::kTooLarge);
+        Fail(HttpOutcomeKind::kTooLarge, "the body exceeds its bound");
         return;
     }
   }
@@ -471,7 +477,8 @@
                 std::chrono::steady_clock::now());
     AwaitReadable();
     if (largest)
-      largest->Fail(HttpOutcomeKind::kTooLarge);
+      largest->Fail(HttpOutcomeKind::kTooLarge,
+                    "it is the largest of the bodies that exceed their bound");
     if (client_->options_.memory)
       client_->options_.memory->Relieve();
   }
@@ -479,11 +486,11 @@
   /// Ends the call, to free the memory of its answer.
   void GiveUp() {
     // The account may be relieved while a callback of another call runs.
-    boost::asio::post(socket_.get_executor(),
-                      [self = shared_from_this(), handle = call_->handle] {
-                        if (self->call_ && self->call_->handle == handle)
-                          self->Fail(HttpOutcomeKind::kTooLarge);
-                      });
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this(),
+                                               handle = call_->handle] {
+      if (self->call_ && self->call_->handle == handle)
+        self->Fail(HttpOutcomeKind::kTooLarge, "the node holds too many bytes");
+    });
   }
 
   void Complete() {
@@ -505,9 +512,10 @@
     callback(std::move(outcome));
   }
 
-  void Fail(HttpOutcomeKind kind) {
+  void Fail(HttpOutcomeKind kind, std::string detail = {}) {
     HttpOutcome outcome;
     outcome.kind = kind;
+    outcome.detail = std::move(detail);
     outcome.request_sent = call_->request_sent;
     outcome.reused_connection = call_->reused_connection;
     const Callback callback = client_->AbortCall(call_);
--- a/unittests/coordination/routing_test.cc
+++ b/unittests/coordination/routing_test.cc
@@ -123,7 +123,16 @@
 // Guards against a server that fails a part of its calls immediately and,
 // having fewer calls in flight, looks idle and attracts more. Simulates 100
 // calls a second that take 80 ms; one server fails half of its calls.
-TEST_F(RoutingTest, ServerThatFailsImmediatelyAttractsNoCalls) {
+class FailingServerTest : public RoutingTest,
+                          public ::testing::WithParamInterface<ResultCode> {};
+
+INSTANTIATE_TEST_SUITE_P(,
+                         FailingServerTest,
+                         ::testing::Values(ResultCode::kTruncatedAnswer,
+                                           ResultCode::kBadBackendAnswer,
+                                           ResultCode::kAnswerTooLarge));
+
+TEST_P(FailingServerTest, ServerThatFailsImmediatelyAttractsNoCalls) {
   constexpr NodeId kFailing = 10;
   SetServers(
       {MakeServer(kFailing, "a"), MakeServer(11, "a"), MakeServer(12, "a")});
@@ -141,8 +150,7 @@
     router_.OnSent(node, At(now));
     if (node == kFailing && call % 2 == 0) {
       ++failed;
-      router_.OnAnswered(node, ResultCode::kTruncatedAnswer, milliseconds(1),
-                         kNoHint, At(now));
+      router_.OnAnswered(node, GetParam(), milliseconds(1), kNoHint, At(now));
     } else {
       running.emplace(now + 80, node);
     }
