Don't take the pause of a host for the service time of its server

What callers saw, in a test: after a pause of the host while a call was in progress, all further calls of that route with a budget below half of the pause were refused with 503 as too late, and for good, since only calls that run change the estimate.

Cause: the clock of a node goes on while its host is suspended or its process is stopped. The answer that was read after the pause counted as one that took that long.

Change: an answer that is read later than the client would have waited for it was delayed by a pause. It does not change the estimate, and its service time ends where the wait would have ended.

Evidence: EntryRequestHandlerTest.APauseOfTheHostIsNoServiceTime got 503 before, and 200 now.

--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -394,7 +394,10 @@
 void BackendExecutor::OnOutcome(Handle handle, HttpOutcome outcome) {
   Call& call = calls_.at(handle);
   protocol::CallAnswer answer = AnswerOf(call, outcome);
-  answer.service_time = Now() - call.started;
+  // An outcome after this was delayed by a pause of this host.
+  const Instant end = call.deadline + kAnswerGrace;
+  const bool was_paused = Now() > end;
+  answer.service_time = std::min(Now(), end) - call.started;
   answer.calls_made = call.calls_made;
   if (answer.result == ResultCode::kOk &&
       answer.http_status < kFirstErrorStatus) {
@@ -409,7 +412,7 @@
       crash_observer_)
     crash_observer_({0, {call.content}});
   const auto actions = queue_.Finish(call.request.route, answer.service_time,
-                                     answered, Now(), handle);
+                                     answered && !was_paused, Now(), handle);
   Finish(handle, std::move(answer));
   Apply(actions);
 }
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <optional>
+#include <thread>
 #include <vector>
 
 #include "call_fakes.h"
@@ -195,6 +196,33 @@
   EXPECT_GT(load.work_time, state::Duration(0));
 }
 
+// Guards against a server that gets no calls any more, for lack of time,
+// because the pause of a host was taken for its service time.
+TEST_F(EntryRequestHandlerTest, APauseOfTheHostIsNoServiceTime) {
+  constexpr std::chrono::milliseconds kBudget{100};
+  const auto send = [&](const std::string& id) {
+    HttpRequest request;
+    request.target = "/read/1";
+    request.headers = {{"Host", "shop"},
+                       {"X-Id", id},
+                       {"X-Budget", std::to_string(kBudget.count())}};
+    auto response = std::make_shared<std::optional<HttpResponse>>();
+    auto exchange = std::make_shared<FakeExchange>(request, response);
+    entry_->Handle(exchange, state::Duration(0));
+    return Await({exchange, response}).status;
+  };
+  backend_ = [&](const auto& exchange) {
+    std::this_thread::sleep_for(3 * kBudget);
+    Answer(*exchange, "late");
+  };
+  send("paused");
+  ASSERT_TRUE(RunUntil(context_, [&] {
+    return backend_executor_.in_flight() == 0 && !requests_.empty();
+  }));
+  backend_ = [](const auto& exchange) { Answer(*exchange, "ok"); };
+  EXPECT_EQ(send("afterwards"), 200);
+}
+
 // Guards against losing parts of a request or its answer, and against callers
 // that set fields which only nodes may set.
 TEST_F(EntryRequestHandlerTest, ForwardsARequestWithItsOwnFields) {
