--- a/lib/transport/inbound_calls.cc
+++ b/lib/transport/inbound_calls.cc
@@ -63,8 +63,9 @@
     return;
   }
   const LinkId id = next_link_id_++;
-  links_[id].link = link;
-  links_[id].accepted_at = Now();
+  InboundLink& accepted = links_[id];
+  accepted.link = link;
+  accepted.accepted_at = Now();
   link->SetMemory(memory_);
   link->ExpectHello();
   link->Start(
--- a/test/route_node/endless_bytes_test.cc
+++ b/test/route_node/endless_bytes_test.cc
@@ -14,6 +14,7 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -95,11 +96,9 @@
           const state::Endpoint& target,
           const Endless& endless)
       : context_(context), target_(target), endless_(endless) {
-    bytes_ = endless.start;
     constexpr std::size_t kPieceBytes = 16 << 10;
-    while (!endless.unit.empty() &&
-           bytes_.size() < endless.start.size() + kPieceBytes)
-      bytes_ += endless.unit;
+    while (!endless.unit.empty() && units_.size() < kPieceBytes)
+      units_ += endless.unit;
   }
 
   // Writes what the other end takes, without reading.
@@ -107,26 +106,29 @@
     if (!socket_)
       Connect();
     error_code error;
-    while (!error && sent_ < endless_.max_bytes && !bytes_.empty()) {
-      // After the first time, only the units are repeated.
-      const std::size_t repeated = bytes_.size() - endless_.start.size();
-      const std::size_t at =
-          sent_ < bytes_.size() || repeated == 0
-              ? sent_
-              : endless_.start.size() +
-                    (sent_ - endless_.start.size()) % repeated;
-      if (at >= bytes_.size())
-        break;
-      const std::size_t size =
-          std::min(bytes_.size() - at, endless_.max_bytes - sent_);
+    std::string_view unsent = Unsent();
+    while (!error && !unsent.empty()) {
       sent_ += socket_->write_some(
-          boost::asio::buffer(bytes_.data() + at, size), error);
+          boost::asio::buffer(unsent.data(), unsent.size()), error);
+      unsent = Unsent();
     }
     if (error && error != boost::asio::error::would_block)
       socket_.reset();
   }
 
  private:
+  // What is to be written next, a part of the start or of the units.
+  std::string_view Unsent() const {
+    const std::size_t left = endless_.max_bytes - sent_;
+    const std::size_t start_bytes = endless_.start.size();
+    if (sent_ < start_bytes)
+      return std::string_view(endless_.start).substr(sent_, left);
+    if (units_.empty())
+      return {};
+    return std::string_view(units_).substr(
+        (sent_ - start_bytes) % units_.size(), left);
+  }
+
   void Connect() {
     sent_ = 0;
     socket_ = std::make_unique<tcp::socket>(context_);
@@ -138,7 +140,8 @@
   boost::asio::io_context& context_;
   const state::Endpoint target_;
   const Endless& endless_;
-  std::string bytes_;
+  // The unit several times.
+  std::string units_;
   std::size_t sent_ = 0;
   std::unique_ptr<tcp::socket> socket_;
 };
@@ -245,7 +248,6 @@
                         connection.Write(head);
                     });
   answering = &server;
-  std::atomic<int> finished = 0;
   std::vector<std::thread> callers;
   for (std::size_t i = 0; i < kConnections; ++i) {
     callers.emplace_back([&, i] {
@@ -255,7 +257,6 @@
       // Half of them reach the sound server of the other host.
       EXPECT_TRUE(result.status == 200 || result.status >= 500)
           << result.status;
-      ++finished;
     });
   }
   std::this_thread::sleep_for(kPlayTime / 2);
