Count and log each answer by status, source and result

Cause: the node could not tell its own 3xx and 4xx from those that it passes on. Change: the counter sesamespread_answers_total by status, source (own, sealed, unsealed) and result; the log line request_rejected for requests that the HTTP server answers itself, with the reason, what was received and the position on the connection; request_answered names the seal. No change of logic.

--- a/include/sesamespread/transport/http_server.h
+++ b/include/sesamespread/transport/http_server.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "sesamespread/state/node_record.h"
@@ -20,6 +21,20 @@
 
 namespace sesamespread::transport {
 
+/// A request that the server answers itself, without calling its handler.
+struct Rejection {
+  std::uint16_t status = 0;
+  state::ResultCode code = state::ResultCode::kOk;
+  std::string_view detail;
+  /// What was received of the request so far; empty while its first line is
+  /// incomplete.
+  std::string_view method;
+  std::string_view target;
+  std::size_t received_bytes = 0;
+  /// Requests received on the connection before this one.
+  std::uint64_t earlier_requests = 0;
+};
+
 /// Limits of an HttpServer.
 struct HttpServerOptions {
   std::size_t max_connections = 2048;
@@ -39,6 +54,8 @@
   state::Duration send_timeout = std::chrono::seconds(10);
   /// Longest time between two requests on a connection.
   state::Duration idle_timeout = std::chrono::seconds(60);
+  /// Called when the server answers a request itself; may be null.
+  std::function<void(const Rejection&)> on_rejection;
 };
 
 /// One request and the interface to answer it. All calls are made on the
--- a/include/sesamespread/transport/metrics.h
+++ b/include/sesamespread/transport/metrics.h
@@ -1,11 +1,13 @@
 /// \file
 /// Metrics of a node, implemented with prometheus-cpp. Names and labels are
-/// documented in docs/METRICS.md. Labels are services and result codes only, so
-/// that the inventory bounds the number of time series.
+/// documented in docs/METRICS.md. Labels are services, result codes, HTTP
+/// statuses and sources of answers only, so that the number of time series is
+/// bounded.
 #ifndef SESAMESPREAD_TRANSPORT_METRICS_H_
 #define SESAMESPREAD_TRANSPORT_METRICS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -48,6 +50,18 @@
   double quota_coordinator_changes = 0;
 };
 
+/// Where the answer to a caller's request comes from.
+enum class AnswerSource : std::uint8_t {
+  /// Made by this node.
+  kOwn,
+  /// Forwarded from a backend server, with its signature.
+  kSealed,
+  /// Forwarded from a backend server, without a signature.
+  kUnsealed,
+};
+
+std::string_view ToString(AnswerSource source);
+
 /// Counters and gauges of one node. All methods may be called on any thread.
 class Metrics {
  public:
@@ -67,6 +81,11 @@
                     state::ResultCode result,
                     state::Duration latency);
 
+  /// Counts an answer to a caller's request by its HTTP \p status.
+  void CountAnswer(std::uint16_t status,
+                   AnswerSource source,
+                   state::ResultCode result);
+
   /// Counts a call to the local backend server that was executed or refused.
   void CountExecution(std::string_view service, state::ResultCode result);
 
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -878,6 +878,7 @@
   response.body =
       protocol::ProblemDetails(failure.code, failure.run_state, failure.detail,
                                {state::HashOf(id), 0}, retry_after);
+  metrics_.CountAnswer(response.status, AnswerSource::kOwn, failure.code);
   exchange->Respond(std::move(response));
 }
 
@@ -890,8 +891,14 @@
   response.body = answer.body;
   if (!request.call.from_backend)
     retry_after_.Observe(request.route->name, false, Now());
+  const AnswerSource source =
+      FieldOf(response.headers, options_.fields.seal).empty()
+          ? AnswerSource::kUnsealed
+          : AnswerSource::kSealed;
+  metrics_.CountAnswer(response.status, source, answer.result);
   request.exchange->Respond(std::move(response));
-  Finish(key, "request_answered", answer.result, answer.http_status, {});
+  Finish(key, "request_answered", answer.result, answer.http_status,
+         std::string(ToString(source)));
 }
 
 void EntryRequestHandler::Finish(Key key,
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -597,7 +597,27 @@
     close_after_answer_ = true;
     is_head_request_ = false;
     body_bytes_ = kWholeBody;
-    SendAnswer(ProblemResponse(code, detail));
+    HttpResponse response = ProblemResponse(code, detail);
+    ReportRejection(response.status, code, detail);
+    SendAnswer(std::move(response));
+  }
+
+  void ReportRejection(std::uint16_t status,
+                       state::ResultCode code,
+                       std::string_view detail) {
+    if (!server_->options_.on_rejection)
+      return;
+    Rejection rejection;
+    rejection.status = status;
+    rejection.code = code;
+    rejection.detail = detail;
+    rejection.earlier_requests = exchange_number_;
+    if (phase_ == Phase::kReceiving) {
+      rejection.method = parser_->message().method;
+      rejection.target = parser_->message().target;
+      rejection.received_bytes = parser_->received_bytes();
+    }
+    server_->options_.on_rejection(rejection);
   }
 
   void SendAnswer(HttpResponse response) {
--- a/lib/transport/http_wire.h
+++ b/lib/transport/http_wire.h
@@ -90,6 +90,10 @@
   Message& message() { return message_; }
 
   std::size_t header_bytes() const { return header_bytes_; }
+  /// Bytes of the message that were parsed, with its framing.
+  std::size_t received_bytes() const {
+    return header_bytes_ + body_wire_bytes_;
+  }
   /// Memory of the message so far. The objects of short header lines take more
   /// than their bytes.
   std::size_t held_bytes() const {
--- a/lib/transport/metrics.cc
+++ b/lib/transport/metrics.cc
@@ -8,8 +8,10 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <array>
 #include <map>
 #include <mutex>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -104,8 +106,16 @@
      &NodeGauges::quota_coordinator_changes},
 };
 
+// Names by the values of AnswerSource.
+constexpr std::array<std::string_view, 3> kSourceNames = {"own", "sealed",
+                                                          "unsealed"};
+
 }  // namespace
 
+std::string_view ToString(AnswerSource source) {
+  return kSourceNames.at(static_cast<std::size_t>(source));
+}
+
 class Metrics::Impl {
  public:
   Impl()
@@ -113,6 +123,10 @@
                       .Name("sesamespread_requests_total")
                       .Help("Requests of callers by service and result")
                       .Register(registry_)),
+        answers_(prometheus::BuildCounter()
+                     .Name("sesamespread_answers_total")
+                     .Help("Answers to callers by status, source and result")
+                     .Register(registry_)),
         executions_(prometheus::BuildCounter()
                         .Name("sesamespread_executions_total")
                         .Help("Calls at the local backend server by result")
@@ -147,6 +161,20 @@
     histogram->Observe(std::chrono::duration<double>(latency).count());
   }
 
+  void CountAnswer(std::uint16_t status,
+                   AnswerSource source,
+                   state::ResultCode result) {
+    const std::lock_guard lock(mutex_);
+    prometheus::Counter*& counter = answer_counters_[{status, source, result}];
+    if (!counter) {
+      counter =
+          &answers_.Add({{"status", std::to_string(status)},
+                         {"source", std::string(ToString(source))},
+                         {"result", std::to_string(static_cast<int>(result))}});
+    }
+    counter->Increment();
+  }
+
   void CountExecution(std::string_view service, state::ResultCode result) {
     const std::lock_guard lock(mutex_);
     Counter(executions_, execution_counters_, ServiceLabel(service), result)
@@ -197,6 +225,7 @@
 
   prometheus::Registry registry_;
   CounterFamily& requests_;
+  CounterFamily& answers_;
   CounterFamily& executions_;
   CounterFamily& retries_;
   prometheus::Family<prometheus::Histogram>& latency_;
@@ -206,6 +235,9 @@
   // The members below are guarded by mutex_.
   std::map<std::string, bool, std::less<>> services_;
   CounterMap request_counters_;
+  std::map<std::tuple<std::uint16_t, AnswerSource, state::ResultCode>,
+           prometheus::Counter*>
+      answer_counters_;
   CounterMap execution_counters_;
   std::map<std::string, prometheus::Histogram*> histograms_;
 };
@@ -219,6 +251,12 @@
   impl_->CountRequest(service, result, latency);
 }
 
+void Metrics::CountAnswer(std::uint16_t status,
+                          AnswerSource source,
+                          state::ResultCode result) {
+  impl_->CountAnswer(status, source, result);
+}
+
 void Metrics::CountExecution(std::string_view service,
                              state::ResultCode result) {
   impl_->CountExecution(service, result);
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -218,7 +218,7 @@
           &memory_),
       entry_server_(context_,
                     settings.listen.entry,
-                    CallerServerOptions(settings.max_connections, &memory_),
+                    EntryServerOptions(),
                     [this](std::shared_ptr<HttpExchange> exchange) {
                       entry_.Handle(std::move(exchange), stalls_.MaxAge(Now()));
                     }),
@@ -255,6 +255,27 @@
   });
 }
 
+HttpServerOptions RouteNode::Impl::EntryServerOptions() {
+  HttpServerOptions options =
+      CallerServerOptions(settings_.max_connections, &memory_);
+  options.on_rejection = [this](const Rejection& r) { OnRejection(r); };
+  return options;
+}
+
+void RouteNode::Impl::OnRejection(const Rejection& rejection) {
+  metrics_.CountAnswer(rejection.status, AnswerSource::kOwn, rejection.code);
+  if (!log_.ShouldLog(ThreadRole::kData, LogLevel::kInfo, "request_rejected"))
+    return;
+  Log(LogLevel::kInfo, "request_rejected",
+      {{"result", std::to_string(static_cast<int>(rejection.code))},
+       {"status", std::to_string(rejection.status)},
+       {"detail", std::string(rejection.detail)},
+       {"method", std::string(rejection.method)},
+       {"target", std::string(rejection.target)},
+       {"received_bytes", std::to_string(rejection.received_bytes)},
+       {"earlier_requests", std::to_string(rejection.earlier_requests)}});
+}
+
 void RouteNode::Impl::Run() {
   Log(LogLevel::kInfo, "node_started",
       {{"zone", settings_.availability_zone},
--- a/lib/transport/route_node_impl.h
+++ b/lib/transport/route_node_impl.h
@@ -79,6 +79,9 @@
                  AnswerCallback done) override;
   void Cancel(Handle handle) override { backend_executor_.Cancel(handle); }
 
+  HttpServerOptions EntryServerOptions();
+  // Counts and logs a request that the entry server answers itself.
+  void OnRejection(const Rejection& rejection);
   void HandleReport(const std::shared_ptr<HttpExchange>& exchange);
   void HandleReady(const std::shared_ptr<HttpExchange>& exchange);
 
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -412,6 +412,20 @@
   EXPECT_EQ(Await(Send("/order/1", "r2")).status, 502);
 }
 
+// Guards against failures of the node that count as those of backend servers.
+TEST_F(EntryRequestHandlerTest, AnswersAreCountedByTheirSource) {
+  backend_ = [](const auto& exchange) { Answer(*exchange, "no", 404); };
+  EXPECT_EQ(Await(Send("/read/1", "r1")).status, 404);
+  EXPECT_EQ(Await(Send("/none/1", "r2")).status, 404);
+  const std::string text = metrics_.Serialize();
+  for (const char* line :
+       {"sesamespread_answers_total{result=\"100\",source=\"sealed\","
+        "status=\"404\"} 1",
+        "sesamespread_answers_total{result=\"410\",source=\"own\","
+        "status=\"404\"} 1"})
+    EXPECT_NE(text.find(line), std::string::npos) << line << "\n" << text;
+}
+
 // Guards against a request that stays open when the backend server is silent.
 TEST_F(EntryRequestHandlerTest, RespondsAtTheRoutesTimeout) {
   std::vector<std::shared_ptr<HttpExchange>> pending;
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -150,6 +150,33 @@
   EXPECT_TRUE(requests_.empty());
 }
 
+// Guards against requests that are turned away without a trace.
+TEST_F(HttpServerTest, ReportsTheRequestsThatItRejects) {
+  struct Report {
+    std::uint16_t status;
+    state::ResultCode code;
+    std::string target;
+    std::uint64_t earlier_requests;
+    auto operator<=>(const Report&) const = default;
+  };
+  std::vector<Report> reports;
+  HttpServerOptions options;
+  options.on_rejection = [&reports](const Rejection& rejection) {
+    EXPECT_GT(rejection.received_bytes, 0U);
+    reports.push_back({rejection.status, rejection.code,
+                       std::string(rejection.target),
+                       rejection.earlier_requests});
+  };
+  options.max_body_bytes = 4;
+  Start(options);
+  RawPeer peer = Connect();
+  peer.Send(std::string(kGet) +
+            "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n");
+  ASSERT_TRUE(RunUntil(context_, [&] { return reports.size() == 1; }));
+  EXPECT_EQ(reports[0],
+            (Report{413, state::ResultCode::kBodyTooLarge, "/b", 1}));
+}
+
 TEST_F(HttpServerTest, RefusesMalformedRequests) {
   Start();
   for (const char* request :
--- a/unittests/transport/metrics_page_test.cc
+++ b/unittests/transport/metrics_page_test.cc
@@ -55,6 +55,7 @@
                        std::chrono::milliseconds(1));
   metrics.CountExecution("orders", state::ResultCode::kOk);
   metrics.CountRetry("orders");
+  metrics.CountAnswer(200, AnswerSource::kSealed, state::ResultCode::kOk);
   metrics.SetGauges(NodeGauges());
   const TypeByName printed = PrintedTypes(metrics.Serialize());
   EXPECT_FALSE(printed.empty());
