Forward 3xx and 4xx only with the server's seal and id

Callers saw: a 3xx or 4xx that nothing shows to be the backend server's, which counts as one of the node's own, and no second attempt at another server. Cause: AnswerOfResponse required seal and id of a success, and the seal of the statuses that promise "not run", but nothing of other statuses. Change: every status below 500, and 503, requires a seal that is not empty and the id. Unsealed 5xx other than 503 are forwarded as before: they promise nothing and reads are tried again. A sealed 408, 429 or 503 without id on a new connection is no promise any more.

--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -73,6 +73,7 @@
 
 constexpr std::uint16_t kMisdirectedStatus = 421;
 constexpr std::uint16_t kFirstErrorStatus = 300;
+constexpr std::uint16_t kFirstServerError = 500;
 
 HttpClientOptions ClientOptions(const FieldNames& fields,
                                 MemoryAccount* memory) {
@@ -95,6 +96,13 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// Whether an answer with this status is forwarded only with seal and id.
+// Callers do not retry after most statuses below 500, and take some for a
+// promise.
+bool RequiresProof(std::uint16_t status) {
+  return status < kFirstServerError || PromisesNotRun(status);
+}
+
 std::string DescribeRateLimit(std::optional<double> per_second) {
   return per_second ? fmt::format("{:.3f}", *per_second) : "none";
 }
@@ -502,19 +510,16 @@
   // Backend servers answer without content encoding, so an encoded body was not
   // sent by the backend server.
   const bool encoded = !FieldOf(headers, "Content-Encoding").empty();
-  if (PromisesNotRun(response.status) && !has_seal) {
-    // The caller would take the status for a promise that the backend server
-    // has not given.
+  if (RequiresProof(response.status) && (!has_seal || !has_id)) {
     return FailedAnswer(
-        call.request, ResultCode::kBadBackendAnswer, RunState::kUnknown,
-        fmt::format(
-            "status {} without a statement that the request has not run",
-            response.status));
+        call.request, ResultCode::kBadBackendAnswer,
+        success ? RunState::kRan : RunState::kUnknown,
+        fmt::format("status {} without the seal and id of the backend server",
+                    response.status));
   }
-  if ((success && (!has_seal || !has_id)) || encoded) {
+  if (encoded) {
     return FailedAnswer(call.request, ResultCode::kBadBackendAnswer,
-                        RunState::kRan,
-                        "the answer is not a signed one of the backend server");
+                        RunState::kRan, "the answer has a content encoding");
   }
   protocol::CallAnswer answer;
   answer.call_id = call.request.call_id;
