Take no statements from answers that are not forwarded

Callers saw: a server that gets more than its stated rate, or no requests any more, after bytes that are not its answer. Cause: the limit, the leave and the load were read from an answer before its seal and id were checked. An answer without the limit lifts it. Change: an answer that is dropped for lack of seal or id states nothing. Those that are forwarded, and refusals with the mark, which have no seal, count as before. Measured: AnUnprovedAnswerStatesNothingAboutTheServer fails on the parent: the limit of 40 is lifted or set to 1, a work factor of 900 percent is taken over.

--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -485,6 +485,18 @@
                         RunState::kUnknown,
                         "an answer without id on a reused connection");
   }
+  const bool misdirected = response.status == kMisdirectedStatus;
+  const bool refused =
+      misdirected || !FieldOf(headers, fields_.not_executed).empty();
+  const bool success = response.status < kFirstErrorStatus;
+  const bool has_seal = !FieldOf(headers, fields_.seal).empty();
+  if (!refused && RequiresProof(response.status) && (!has_seal || !has_id)) {
+    return FailedAnswer(
+        call.request, ResultCode::kBadBackendAnswer,
+        success ? RunState::kRan : RunState::kUnknown,
+        fmt::format("status {} without the seal and id of the backend server",
+                    response.status));
+  }
   if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load))) {
     const std::uint32_t requests = load->running + load->waiting;
     if (load->reports_work_time) {
@@ -494,29 +506,19 @@
       queue_.OnReportedLoad(requests);
     }
   }
-  const bool misdirected = response.status == kMisdirectedStatus;
   // Another backend server and an earlier instance say nothing about this one.
   if (!misdirected && backend_ && backend_->identity.IsSameRun(call.instance))
     OnServerHeaders(headers, call.started);
-  if (misdirected || !FieldOf(headers, fields_.not_executed).empty()) {
+  if (refused) {
     return FailedAnswer(
         call.request, ResultCode::kBackendRefused, RunState::kNotRun,
         misdirected ? "another backend server has this address"
                     : fmt::format("the backend server refused with status {}",
                                   response.status));
   }
-  const bool success = response.status < kFirstErrorStatus;
-  const bool has_seal = !FieldOf(headers, fields_.seal).empty();
   // Backend servers answer without content encoding, so an encoded body was not
   // sent by the backend server.
   const bool encoded = !FieldOf(headers, "Content-Encoding").empty();
-  if (RequiresProof(response.status) && (!has_seal || !has_id)) {
-    return FailedAnswer(
-        call.request, ResultCode::kBadBackendAnswer,
-        success ? RunState::kRan : RunState::kUnknown,
-        fmt::format("status {} without the seal and id of the backend server",
-                    response.status));
-  }
   if (encoded) {
     return FailedAnswer(call.request, ResultCode::kBadBackendAnswer,
                         RunState::kRan, "the answer has a content encoding");
--- a/unittests/transport/backend_answer_test.cc
+++ b/unittests/transport/backend_answer_test.cc
@@ -325,5 +325,32 @@
   }
 }
 
+// Guards against stray bytes that lift or set the limit of a server, make it
+// leave, or change its load.
+TEST_F(BackendAnswerTest, AnUnprovedAnswerStatesNothingAboutTheServer) {
+  int leaves = 0;
+  backend_executor_.SetLeaveObserver([&leaves] { ++leaves; });
+  server_.SetHandler([](const std::string& id, bool) {
+    return Reply{Proved(id, "X-Limit: 40\r\nX-Load: 1,0,4,100\r\n")};
+  });
+  EXPECT_EQ(Send(/*is_order=*/true, "r1").status, 200);
+  int number = 1;
+  for (const int status : {200, 404, 429}) {
+    for (const char* more :
+         {"", "X-Limit: 1\r\nX-Leaving: 1\r\nX-Load: 4,9,4,900\r\n"}) {
+      const Bytes bytes{status, "", kOwnId, more, "Content-Length: 5\r\n",
+                        "other"};
+      SCOPED_TRACE(bytes.For("r"));
+      server_.SetHandler([&bytes](const std::string& id, bool) {
+        return Reply{bytes.For(id)};
+      });
+      EXPECT_EQ(Send(true, fmt::format("r{}", ++number)).status, 502);
+      EXPECT_EQ(backend_executor_.rate_limit(), 40);
+      EXPECT_EQ(backend_executor_.load().work_factor_percent, 100U);
+    }
+  }
+  EXPECT_EQ(leaves, 0);
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
