Count an unproved success as an answer of unknown origin

Callers saw: nothing yet. A request under suspicion of ending servers is cleared by bytes that look like a success, so that it may end further servers. Cause: a success without seal or id had the run state kRan, which clears a crash suspect and enters the estimates of the service time. Change: it has the run state unknown, as every other answer of unknown origin. Callers get the same answers and attempts. Measured: AnUnprovedSuccessClearsNoCrashSuspect fails on the parent, where the suspect is cleared, and passes with the change; transport_tests 177 of 177.

--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -488,12 +488,10 @@
   const bool misdirected = response.status == kMisdirectedStatus;
   const bool refused =
       misdirected || !FieldOf(headers, fields_.not_executed).empty();
-  const bool success = response.status < kFirstErrorStatus;
   const bool has_seal = !FieldOf(headers, fields_.seal).empty();
   if (!refused && RequiresProof(response.status) && (!has_seal || !has_id)) {
     return FailedAnswer(
-        call.request, ResultCode::kBadBackendAnswer,
-        success ? RunState::kRan : RunState::kUnknown,
+        call.request, ResultCode::kBadBackendAnswer, RunState::kUnknown,
         fmt::format("status {} without the seal and id of the backend server",
                     response.status));
   }
--- a/unittests/transport/backend_answer_test.cc
+++ b/unittests/transport/backend_answer_test.cc
@@ -352,5 +352,24 @@
   EXPECT_EQ(leaves, 0);
 }
 
+// Guards against a deadly request that stray bytes clear of suspicion.
+TEST_F(BackendAnswerTest, AnUnprovedSuccessClearsNoCrashSuspect) {
+  const auto content = coordination::ContentOf("GET", "shop", "/order/1", "");
+  coordination::CrashSuspects& suspects = backend_executor_.crash_suspects();
+  const auto judge = [&] { return suspects.Judge(content, Now()); };
+  suspects.OnServerEnd(7, std::vector{content}, Now());
+  ASSERT_EQ(judge(), coordination::CrashVerdict::kSuspect);
+  server_.SetHandler([](const std::string& id, bool) {
+    return Reply{fmt::format(
+        "HTTP/1.1 200 OK\r\nX-Id: {}\r\nContent-Length: 0\r\n\r\n", id)};
+  });
+  EXPECT_EQ(Send(/*is_order=*/true, "r1").status, 502);
+  EXPECT_EQ(judge(), coordination::CrashVerdict::kSuspect);
+  server_.SetHandler(
+      [](const std::string& id, bool) { return Reply{Proved(id)}; });
+  EXPECT_EQ(Send(true, "r2").status, 200);
+  EXPECT_EQ(judge(), coordination::CrashVerdict::kNone);
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
