Ignore empty lines before a request line

Cause: the parser took a line end between two requests for a request line and answered 400 to a request that is otherwise valid. RFC 9112, section 2.2, recommends to ignore at least one empty line there, because some callers send one after a body. It forbids callers to send it.

Change: the server skips CRLF pairs while a connection waits for a request. They do not begin a request, so that neither the receive timeout starts nor the idle timeout is extended. A bare LF and a CR without LF still get 400.

--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -509,13 +509,25 @@
       callback();
   }
 
+  /// Skips empty lines before a request line, as RFC 9112, section 2.2,
+  /// recommends: some callers send one after a body. They do not begin a
+  /// request, so that the idle timeout stays in effect.
+  void SkipEmptyLines() {
+    while (Unparsed().starts_with("\r\n"))
+      parsed_ += 2;
+  }
+
   /// Parses the bytes that were read, unless a request is being handled or
   /// answered.
   void Parse() {
     if (phase_ != Phase::kIdle && phase_ != Phase::kReceiving)
       return;
+    if (phase_ == Phase::kIdle)
+      SkipEmptyLines();
     const std::string_view unparsed = Unparsed();
-    if (unparsed.empty())
+    // A single CR may be the first half of an empty line.
+    const bool may_be_empty_line = phase_ == Phase::kIdle && unparsed == "\r";
+    if (unparsed.empty() || may_be_empty_line)
       return;
     const HttpServerOptions& options = server_->options_;
     if (phase_ == Phase::kIdle) {
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -196,6 +196,50 @@
   EXPECT_TRUE(requests_.empty());
 }
 
+// Guards against a request that is refused for an empty line before it, which
+// some callers send after a body.
+TEST_F(HttpServerTest, IgnoresEmptyLinesBeforeARequestLine) {
+  HttpServerOptions options;
+  options.receive_timeout = std::chrono::milliseconds(40);
+  Start(options);
+  RawPeer peer = Connect();
+  peer.Send(
+      "\r\n\r\nPOST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc\r\n"
+      "GET /b HTTP/1.1\r\nHost: h\r\n\r\n\r");
+  ASSERT_TRUE(peer.Expect("/b"));
+  // An empty line is not the start of a request that can be late.
+  RunFor(std::chrono::milliseconds(100));
+  peer.Send("\n");
+  RunFor(std::chrono::milliseconds(100));
+  peer.Send("GET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(peer.Expect("/c"));
+  EXPECT_EQ(peer.received(),
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n/aabc"
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/b"
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n/c");
+  for (const char* request : {"\n", "\rGET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+                              " \r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n"}) {
+    ExpectProblem(request, 400, 400);
+  }
+}
+
+// Guards against a caller that holds a connection with empty lines alone.
+TEST_F(HttpServerTest, EmptyLinesDoNotExtendTheIdleTimeout) {
+  HttpServerOptions options;
+  options.idle_timeout = std::chrono::milliseconds(100);
+  Start(options);
+  RawPeer peer = Connect();
+  peer.Send(kGet);
+  ASSERT_TRUE(peer.Expect("/a"));
+  const std::string answer = peer.received();
+  EXPECT_TRUE(RunUntil(context_, [&] {
+    peer.Send("\r\n");
+    return server_->connection_count() == 0;
+  }));
+  EXPECT_TRUE(peer.ExpectClose());
+  EXPECT_EQ(peer.received(), answer);
+}
+
 // A truncated request must not run, and its sender must receive an error.
 TEST_F(HttpServerTest, RefusesARequestCutShort) {
   Start();
