--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -492,8 +492,9 @@
   if (!refused && RequiresProof(response.status) && (!has_seal || !has_id)) {
     return FailedAnswer(
         call.request, ResultCode::kBadBackendAnswer, RunState::kUnknown,
-        fmt::format("status {} without the seal and id of the backend server",
-                    response.status));
+        fmt::format(
+            "the answer with status {} lacks the seal or id of the server",
+            response.status));
   }
   if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load))) {
     const std::uint32_t requests = load->running + load->waiting;
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -196,8 +196,7 @@
   EXPECT_TRUE(requests_.empty());
 }
 
-// Guards against a request that is refused for an empty line before it, which
-// some callers send after a body.
+// Guards against a 400 for a request after an empty line.
 TEST_F(HttpServerTest, IgnoresEmptyLinesBeforeARequestLine) {
   HttpServerOptions options;
   options.receive_timeout = std::chrono::milliseconds(40);
