Take the load only from answers of the current server

Callers saw: nothing yet. The load and the work factor of a server that has taken over an address count as those of the current one until it answers. Cause: the load was read from each answer, the limit and the leave only from answers of the current run that are not 421. Change: the load is read under the same condition. Measured: AnAnswerOfAnotherServerStatesNoLoad fails on the parent with a work factor of 900 in place of 100 percent, and passes with the change; transport_tests 178 of 178, ServerFaultTest (without BytesWithoutEndAreBounded), ServerStatementTest and UploadTest 12 of 12.

--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -175,6 +175,7 @@
   void OnOutcome(Handle handle, HttpOutcome outcome);
   protocol::CallAnswer AnswerOf(const Call& call, HttpOutcome& outcome);
   protocol::CallAnswer AnswerOfResponse(const Call& call, HttpOutcome& outcome);
+  void ApplyLoad(std::string_view text);
   void ApplyRateLimit(std::string_view text, state::Instant sent);
   void OnUnreachable();
   // Suspects run one at a time. \returns false if the call waits for another or
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -496,18 +496,11 @@
             "the answer with status {} lacks the seal or id of the server",
             response.status));
   }
-  if (const auto load = ParseServerLoad(FieldOf(headers, fields_.load))) {
-    const std::uint32_t requests = load->running + load->waiting;
-    if (load->reports_work_time) {
-      queue_.OnReportedLoadAt(requests, Now());
-      queue_.OnReportedWorkTime(load->work_time_percent, Now());
-    } else {
-      queue_.OnReportedLoad(requests);
-    }
-  }
   // Another backend server and an earlier instance say nothing about this one.
-  if (!misdirected && backend_ && backend_->identity.IsSameRun(call.instance))
+  if (!misdirected && backend_ && backend_->identity.IsSameRun(call.instance)) {
+    ApplyLoad(FieldOf(headers, fields_.load));
     OnServerHeaders(headers, call.started);
+  }
   if (refused) {
     return FailedAnswer(
         call.request, ResultCode::kBackendRefused, RunState::kNotRun,
@@ -547,6 +540,19 @@
     leave_observer_();
 }
 
+void BackendExecutor::ApplyLoad(std::string_view text) {
+  const auto load = ParseServerLoad(text);
+  if (!load)
+    return;
+  const std::uint32_t requests = load->running + load->waiting;
+  if (load->reports_work_time) {
+    queue_.OnReportedLoadAt(requests, Now());
+    queue_.OnReportedWorkTime(load->work_time_percent, Now());
+  } else {
+    queue_.OnReportedLoad(requests);
+  }
+}
+
 void BackendExecutor::ApplyRateLimit(std::string_view text, Instant sent) {
   const Instant now = Now();
   const auto previous = rate_limit();
--- a/unittests/transport/backend_answer_test.cc
+++ b/unittests/transport/backend_answer_test.cc
@@ -371,5 +371,17 @@
   EXPECT_EQ(judge(), coordination::CrashVerdict::kNone);
 }
 
+// Guards against the load of a server that has taken over the address.
+TEST_F(BackendAnswerTest, AnAnswerOfAnotherServerStatesNoLoad) {
+  server_.SetHandler([](const std::string& id, bool) {
+    return Reply{fmt::format(
+        "HTTP/1.1 421 Misdirected Request\r\nX-Id: {}\r\nX-Not-Run: 1\r\n"
+        "X-Load: 4,9,4,900\r\nContent-Length: 0\r\n\r\n",
+        id)};
+  });
+  EXPECT_EQ(Send(/*is_order=*/true, "r1").status, 503);
+  EXPECT_EQ(backend_executor_.load().work_factor_percent, 100U);
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
