Take no result of another node that a call cannot have

Symptom: none seen. The executor of a route node answers with results whose status is 200 or from 500 on. Cause: the entry node took the status of an answer from the table of all result codes, which include those of other interfaces. Change: a result other than 100 whose status is below 500 counts as an invalid frame (406). Its run state stays, so that the call is sent again or answered with 503 if it has not run, and else with 502.

--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -111,6 +111,13 @@
   return is_state ? ResultCode::kQueueFull : result;
 }
 
+// Whether a call can have \p result. The status of any other one would tell the
+// caller that its request is wrong or was answered.
+bool IsResultOfCall(ResultCode result) {
+  return result == ResultCode::kOk ||
+         state::InfoOf(result).http_status >= kFirstServerError;
+}
+
 // Whether a backend server may have received the call.
 bool HasReachedServer(const protocol::CallAnswer& answer) {
   return answer.run_state != RunState::kNotRun ||
@@ -647,6 +654,14 @@
 void EntryRequestHandler::OnAnswer(Key key,
                                    std::uint32_t number,
                                    const protocol::CallAnswer& answer) {
+  if (!IsResultOfCall(answer.result)) {
+    protocol::CallAnswer invalid = answer;
+    invalid.result = ResultCode::kBadFrame;
+    invalid.detail = fmt::format("the result {} is not one of a call",
+                                 static_cast<int>(answer.result));
+    OnAnswer(key, number, invalid);
+    return;
+  }
   const auto found = requests_.find(key);
   if (found == requests_.end())
     return;
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "call_fakes.h"
+#include "sesamespread/transport/inbound_calls.h"
 #include "test_support.h"
 
 namespace sesamespread::transport {
@@ -26,6 +27,7 @@
                             "X-Limit", "X-Leaving", "X-Key",    "Token",
                             "X-Tenant"};
 constexpr state::NodeId kSelf = 5;
+constexpr state::NodeId kPeer = 7;
 
 state::RouteSet MakeRoutes() {
   state::Route read;
@@ -71,7 +73,7 @@
     options.retries.min_retries = 100;
     entry_ = std::make_unique<EntryRequestHandler>(
         deadlines_, options, router_, backend_executor_, outbound_,
-        [](state::NodeId) { return state::Endpoint{}; }, metrics_, log_);
+        [this](state::NodeId) { return peer_endpoint_; }, metrics_, log_);
     entry_->SetRoutes(std::make_shared<const coordination::RouteTable>(
         std::make_shared<const state::RouteSet>(MakeRoutes())));
     SetBackend("i-1", 4);
@@ -161,6 +163,7 @@
   }
 
   boost::asio::io_context context_{1};
+  state::Endpoint peer_endpoint_;
   DeadlineQueue deadlines_{context_};
   Metrics metrics_;
   EventLog log_{LogLevel::kError, "test"};
@@ -316,6 +319,44 @@
   EXPECT_TRUE(requests_.empty());
 }
 
+// Guards against a result of another node that no call has and whose status
+// tells the caller that its request is wrong, has not run or was answered.
+TEST_F(EntryRequestHandlerTest, ResultsOfOtherNodesAreNoClientErrors) {
+  FakeCallExecutor executor;
+  InboundCalls peer(context_, RawPeer::Loopback(0),
+                    protocol::Hello{kPeer, 1, "peer"}, executor,
+                    [](const protocol::PeerMessage&, const auto&) {});
+  peer_endpoint_ = RawPeer::Loopback(peer.port());
+  state::NodeRecord record;
+  record.node = kPeer;
+  record.incarnation = 1;
+  record.sequence = 1;
+  record.zone = "zone-a";
+  record.service = "orders";
+  record.backend_state = state::BackendState::kServing;
+  router_.SetServers("orders", {record}, {}, Now());
+  for (const state::ResultCodeInfo& info : state::AllResultCodes()) {
+    if (info.code == state::ResultCode::kOk)
+      continue;
+    for (const auto run_state :
+         {state::RunState::kNotRun, state::RunState::kUnknown}) {
+      const Sent sent = Send("/order/1", "r1");
+      while (!sent.response->has_value()) {
+        ASSERT_TRUE(RunUntil(context_, [&] {
+          return sent.response->has_value() || !executor.calls().empty();
+        }));
+        if (!executor.calls().empty())
+          executor.Answer(info.code, run_state);
+      }
+      const int status = (*sent.response)->status;
+      if (run_state == state::RunState::kNotRun)
+        EXPECT_EQ(status, 503) << info.name;
+      else
+        EXPECT_TRUE(status == 502 || status == 504) << info.name << status;
+    }
+  }
+}
+
 // Guards against an order that runs twice, or is answered with 503, which
 // promises that it has not run. Its answer was lost, so it may have run.
 TEST_F(EntryRequestHandlerTest,
