Refuse calls of runs of an earlier process as not run, not as unauthorized

Cause: calls carry no key. The node knows them by the request that makes them, and a process that has just started knows none of those that go on at its server, so that a call could not be told from a request without a key. A request with an unknown key, or with an id of another form, gets 401 as before. Measured: EntryRequestHandlerTest.CallsOfEarlierRunsAreNotUnauthorized fails without the change with 401 in place of 503.

--- a/include/sesamespread/transport/entry_request_handler.h
+++ b/include/sesamespread/transport/entry_request_handler.h
@@ -184,6 +184,9 @@
   // Sets the tenant by the API key of the request. \returns the reason to
   // refuse it, if there is one.
   std::optional<Failure> Authenticate(Request& request) const;
+  // Whether the request may be a call of a run at the local backend server that
+  // an earlier process of this node started.
+  bool MayBelongToEarlierRun(const Request& request) const;
   // Sends the request once the quota of its tenant admits it.
   void AcquireQuota(Key key);
   void OnQuotaVerdict(Key key,
@@ -280,6 +283,9 @@
   coordination::WaitTable waits_;
   coordination::AnswerTimes answer_times_;
   coordination::RetryAfterEstimator retry_after_;
+  const state::Instant started_;
+  // Longest timeout of all routes that have been in force; no run takes longer.
+  state::Duration longest_timeout_{0};
   // Average number of calls that a run of a request makes, by route.
   std::unordered_map<std::string, double> calls_per_run_;
   // The end of the process, from which on callers are refused; see
--- a/lib/transport/entry_request_handler.cc
+++ b/lib/transport/entry_request_handler.cc
@@ -137,7 +137,8 @@
       log_(log),
       random_(options_.seed),
       splits_(options_.seed),
-      budget_(options_.retries) {}
+      budget_(options_.retries),
+      started_(Now()) {}
 
 EntryRequestHandler::~EntryRequestHandler() {
   *alive_ = false;
@@ -149,6 +150,10 @@
   keys_ = routes_
               ? std::make_shared<const ApiKeyTable>(routes_->shared_routes())
               : nullptr;
+  if (!routes_)
+    return;
+  for (const state::Route& route : routes_->routes().routes)
+    longest_timeout_ = std::max(longest_timeout_, route.timeout);
 }
 
 void EntryRequestHandler::Handle(std::shared_ptr<HttpExchange> exchange,
@@ -277,6 +282,11 @@
   request.call.is_repeat = parent->is_repeat;
 }
 
+bool EntryRequestHandler::MayBelongToEarlierRun(const Request& request) const {
+  return request.id.find('.') != std::string::npos &&
+         request.received < started_ + longest_timeout_;
+}
+
 std::optional<EntryRequestHandler::Failure> EntryRequestHandler::Authenticate(
     Request& request) const {
   const std::vector<state::Tenant>& tenants = routes_->routes().tenants;
@@ -289,6 +299,11 @@
       request.route->is_public || request.call.from_backend;
   if (credentials.empty() && may_lack_key)
     return std::nullopt;
+  if (credentials.empty() && MayBelongToEarlierRun(request)) {
+    return Failure{ResultCode::kRunUnknown, RunState::kNotRun,
+                   "the request that makes this call may have begun before "
+                   "this node started"};
+  }
   // An outdated table can't tell a withdrawn key from a valid one, nor a new
   // key from an unknown one.
   if (are_keys_current_ && !are_keys_current_()) {
@@ -812,6 +827,7 @@
       failure.code != ResultCode::kLeaving &&
       failure.code != ResultCode::kCrashSuspect &&
       failure.code != ResultCode::kKeysOutdated &&
+      failure.code != ResultCode::kRunUnknown &&
       failure.code != ResultCode::kQuotaExceeded &&
       failure.code != ResultCode::kUnknownApiKey)
     retry_after_.Observe(request.route->name, true, now);
--- a/unittests/transport/entry_request_handler_test.cc
+++ b/unittests/transport/entry_request_handler_test.cc
@@ -270,6 +270,25 @@
   EXPECT_TRUE(requests_.empty());
 }
 
+// Guards against 401 for calls of runs that an earlier process has started.
+TEST_F(EntryRequestHandlerTest, CallsOfEarlierRunsAreNotUnauthorized) {
+  SetTenants();
+  const HttpResponse response = Await(Send("/read/1", "r1.call"));
+  EXPECT_EQ(response.status, 503);
+  EXPECT_NE(FieldOf(response.headers, "Retry-After"), "");
+  EXPECT_EQ(Await(Send("/read/1", "r2")).status, 401);
+  EXPECT_EQ(
+      Await(Send("/read/1", "r3.call", {{"X-Key", "Token other"}})).status,
+      401);
+  // No run of an earlier process takes longer than the longest timeout, 3 s.
+  std::uint16_t status = 503;
+  for (const state::Instant end = Now() + seconds(10);
+       status == 503 && Now() < end; context_.run_for(milliseconds(50)))
+    status = Await(Send("/read/1", "r4.call")).status;
+  EXPECT_EQ(status, 401);
+  EXPECT_TRUE(requests_.empty());
+}
+
 // Guards against public routes that need a key, or that pass one on.
 TEST_F(EntryRequestHandlerTest, PublicRoutesNeedNoKey) {
   SetTenants();
