Keep the log of rejected requests apart from that of refused ones

Change: refusals for lack of room are logged as request_not_taken, the target is cut to 256 bytes, the id of the request is logged. Measured: HttpServerTest.ReportsTheRequestsThatItRejects and the test of the metrics page pass.

--- a/include/sesamespread/transport/http_server.h
+++ b/include/sesamespread/transport/http_server.h
@@ -26,10 +26,8 @@
   std::uint16_t status = 0;
   state::ResultCode code = state::ResultCode::kOk;
   std::string_view detail;
-  /// What was received of the request so far; empty while its first line is
-  /// incomplete.
-  std::string_view method;
-  std::string_view target;
+  /// What was received of the request so far; null if nothing was read.
+  const HttpRequest* request = nullptr;
   std::size_t received_bytes = 0;
   /// Requests received on the connection before this one.
   std::uint64_t earlier_requests = 0;
--- a/include/sesamespread/transport/metrics.h
+++ b/include/sesamespread/transport/metrics.h
@@ -50,7 +50,7 @@
   double quota_coordinator_changes = 0;
 };
 
-/// Where the answer to a caller's request comes from.
+/// Where the answer to a caller's request comes from, or that it is dropped.
 enum class AnswerSource : std::uint8_t {
   /// Made by this node.
   kOwn,
@@ -58,6 +58,9 @@
   kSealed,
   /// Forwarded from a backend server, without a signature.
   kUnsealed,
+  /// Received from the local backend server and not forwarded, because nothing
+  /// shows that it is its answer to the request.
+  kDropped,
 };
 
 std::string_view ToString(AnswerSource source);
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -625,8 +625,7 @@
     rejection.detail = detail;
     rejection.earlier_requests = exchange_number_;
     if (phase_ == Phase::kReceiving) {
-      rejection.method = parser_->message().method;
-      rejection.target = parser_->message().target;
+      rejection.request = &parser_->message();
       rejection.received_bytes = parser_->received_bytes();
     }
     server_->options_.on_rejection(rejection);
--- a/lib/transport/metrics.cc
+++ b/lib/transport/metrics.cc
@@ -107,8 +107,8 @@
 };
 
 // Names by the values of AnswerSource.
-constexpr std::array<std::string_view, 3> kSourceNames = {"own", "sealed",
-                                                          "unsealed"};
+constexpr std::array<std::string_view, 4> kSourceNames = {
+    "own", "sealed", "unsealed", "dropped"};
 
 }  // namespace
 
--- a/lib/transport/route_node.cc
+++ b/lib/transport/route_node.cc
@@ -64,6 +64,9 @@
 /// clock.
 constexpr Duration kStoreClockPullInterval = milliseconds(300);
 
+/// Bytes of a rejected request's method and target in the log.
+constexpr std::size_t kMaxLoggedTargetBytes = 256;
+
 /// Key of the document in a ConfigurationPush.
 constexpr char kDocumentEntry[] = "document";
 
@@ -264,14 +267,23 @@
 
 void RouteNode::Impl::OnRejection(const Rejection& rejection) {
   metrics_.CountAnswer(rejection.status, AnswerSource::kOwn, rejection.code);
-  if (!log_.ShouldLog(ThreadRole::kData, LogLevel::kInfo, "request_rejected"))
+  // A flood of refusals for lack of room must not suppress the lines of others.
+  const std::string_view event = rejection.code == state::ResultCode::kNodeBusy
+                                     ? "request_not_taken"
+                                     : "request_rejected";
+  if (!log_.ShouldLog(ThreadRole::kData, LogLevel::kInfo, event))
     return;
-  Log(LogLevel::kInfo, "request_rejected",
+  static const HttpRequest kNothing;
+  const HttpRequest& request =
+      rejection.request ? *rejection.request : kNothing;
+  Log(LogLevel::kInfo, event,
       {{"result", std::to_string(static_cast<int>(rejection.code))},
        {"status", std::to_string(rejection.status)},
        {"detail", std::string(rejection.detail)},
-       {"method", std::string(rejection.method)},
-       {"target", std::string(rejection.target)},
+       {"request",
+        std::string(FieldOf(request.headers, interface_.fields.request_id))},
+       {"method", request.method.substr(0, kMaxLoggedTargetBytes)},
+       {"target", request.target.substr(0, kMaxLoggedTargetBytes)},
        {"received_bytes", std::to_string(rejection.received_bytes)},
        {"earlier_requests", std::to_string(rejection.earlier_requests)}});
 }
--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -163,9 +163,9 @@
   HttpServerOptions options;
   options.on_rejection = [&reports](const Rejection& rejection) {
     EXPECT_GT(rejection.received_bytes, 0U);
+    ASSERT_NE(rejection.request, nullptr);
     reports.push_back({rejection.status, rejection.code,
-                       std::string(rejection.target),
-                       rejection.earlier_requests});
+                       rejection.request->target, rejection.earlier_requests});
   };
   options.max_body_bytes = 4;
   Start(options);
