Take unproved refusals and failures of a server for what they are

What callers saw: nothing yet. An order may run twice, a limited server may get more than its stated rate, and a request that ends servers may end further ones. Cause: a 421 without id counted as a refusal, and a failure from 500 on without seal and id counted as one of the server: it lifted the stated limit and was counted as run. Change: a 421 needs the id of the request or the name of the instance. Without seal and id, a forwarded failure lifts no limit, and its run state is unknown, as is that of an encoded answer. A limit or leave that it states is still obeyed, because callers see it. Answers with the mark of a refusal count as before, also without id. Answers that are not forwarded are counted by status. Measured: AMisdirectedAnswerWithoutIdIsNoPromise, AnUnprovedFailureLiftsNoRateLimit and AnUnprovedFailureClearsNoCrashSuspect failed on and pass; AProvedAnswerBelow500ReachesTheCaller passed before and after.

--- a/include/sesamespread/transport/backend_executor.h
+++ b/include/sesamespread/transport/backend_executor.h
@@ -124,9 +124,11 @@
   }
 
   /// Applies the statements of the current backend server in the header of an
-  /// answer to a request that was sent at \p sent, including health checks.
+  /// answer to a request that was sent at \p sent, including health checks. An
+  /// answer without a limit lifts the limit only if \p may_lift_limit.
   void OnServerHeaders(const std::vector<protocol::Header>& headers,
-                       state::Instant sent);
+                       state::Instant sent,
+                       bool may_lift_limit);
 
   /// Requests per second to which the backend server limits all nodes; nullopt
   /// if it states no limit.
--- a/lib/transport/backend_executor.cc
+++ b/lib/transport/backend_executor.cc
@@ -485,11 +485,17 @@
                         RunState::kUnknown,
                         "an answer without id on a reused connection");
   }
-  const bool misdirected = response.status == kMisdirectedStatus;
+  // A status alone may be stray bytes. The server can't echo an id that the
+  // request does not have; it may state its own name instead.
+  const bool misdirected = response.status == kMisdirectedStatus &&
+                           (has_id || call.id.empty() ||
+                            !FieldOf(headers, fields_.instance).empty());
   const bool refused =
       misdirected || !FieldOf(headers, fields_.not_executed).empty();
-  const bool has_seal = !FieldOf(headers, fields_.seal).empty();
-  if (!refused && RequiresProof(response.status) && (!has_seal || !has_id)) {
+  const bool proved = has_id && !FieldOf(headers, fields_.seal).empty();
+  if (!refused && !proved && RequiresProof(response.status)) {
+    metrics_.CountAnswer(response.status, AnswerSource::kDropped,
+                         ResultCode::kBadBackendAnswer);
     return FailedAnswer(
         call.request, ResultCode::kBadBackendAnswer, RunState::kUnknown,
         fmt::format(
@@ -499,7 +505,7 @@
   // Another backend server and an earlier instance say nothing about this one.
   if (!misdirected && backend_ && backend_->identity.IsSameRun(call.instance)) {
     ApplyLoad(FieldOf(headers, fields_.load));
-    OnServerHeaders(headers, call.started);
+    OnServerHeaders(headers, call.started, refused || proved);
   }
   if (refused) {
     return FailedAnswer(
@@ -511,15 +517,16 @@
   // Backend servers answer without content encoding, so an encoded body was not
   // sent by the backend server.
   const bool encoded = !FieldOf(headers, "Content-Encoding").empty();
+  const RunState run_state = proved ? RunState::kRan : RunState::kUnknown;
   if (encoded) {
-    return FailedAnswer(call.request, ResultCode::kBadBackendAnswer,
-                        RunState::kRan, "the answer has a content encoding");
+    return FailedAnswer(call.request, ResultCode::kBadBackendAnswer, run_state,
+                        "the answer has a content encoding");
   }
   protocol::CallAnswer answer;
   answer.call_id = call.request.call_id;
   answer.request_id = call.request.request_id;
   answer.result = ResultCode::kOk;
-  answer.run_state = RunState::kRan;
+  answer.run_state = run_state;
   answer.http_status = response.status;
   for (protocol::Header& header : response.headers) {
     // Fields that report the load and instance to the node are not forwarded.
@@ -534,8 +541,11 @@
 
 void BackendExecutor::OnServerHeaders(
     const std::vector<protocol::Header>& headers,
-    Instant sent) {
-  ApplyRateLimit(FieldOf(headers, fields_.rate_limit), sent);
+    Instant sent,
+    bool may_lift_limit) {
+  const std::string_view limit = FieldOf(headers, fields_.rate_limit);
+  if (may_lift_limit || !limit.empty())
+    ApplyRateLimit(limit, sent);
   if (leave_observer_ && !FieldOf(headers, fields_.leaving).empty())
     leave_observer_();
 }
--- a/lib/transport/route_node_backend.cc
+++ b/lib/transport/route_node_backend.cc
@@ -163,7 +163,8 @@
     return;
   is_health_check_answered_ = true;
   if (!current || current->identity.instance == instance)
-    backend_executor_.OnServerHeaders(outcome.response.headers, sent);
+    backend_executor_.OnServerHeaders(outcome.response.headers, sent,
+                                      /*may_lift_limit=*/true);
   if (!current) {
     if (states_leave)
       return;
--- a/unittests/transport/backend_answer_test.cc
+++ b/unittests/transport/backend_answer_test.cc
@@ -383,5 +383,98 @@
   EXPECT_EQ(backend_executor_.load().work_factor_percent, 100U);
 }
 
+// Guards against an order that is sent twice because stray bytes are taken for
+// a refusal: a server that refuses with status 421 alone echoes the id.
+TEST_F(BackendAnswerTest, AMisdirectedAnswerWithoutIdIsNoPromise) {
+  int number = 0;
+  for (const char* seal : {"", kEmptySeal, kSeal}) {
+    for (const bool reused : {true, false}) {
+      const std::string id = fmt::format("r{}", ++number);
+      const Bytes bytes{421, seal, "", "", "Content-Length: 5\r\n", "other"};
+      SCOPED_TRACE(fmt::format("reused {}, bytes {}", reused, bytes.For(id)));
+      PrepareConnection(reused);
+      bool is_first = true;
+      server_.SetHandler([&](const std::string& request, bool) {
+        if (!std::exchange(is_first, false))
+          return Reply{Proved(request)};
+        return Reply{bytes.For(request)};
+      });
+      EXPECT_EQ(Send(/*is_order=*/true, id).status, 502);
+      EXPECT_EQ(CountArrivals(id), 1U);
+    }
+  }
+}
+
+// Guards against bytes without seal and id that lift the limit of a server. A
+// limit that they state is obeyed, because their answer is forwarded.
+TEST_F(BackendAnswerTest, AnUnprovedFailureLiftsNoRateLimit) {
+  int number = 0;
+  for (const int status : {500, 502, 504}) {
+    const Bytes bytes{status, "", "", "", "Content-Length: 5\r\n", "other"};
+    server_.SetHandler([](const std::string& id, bool) {
+      return Reply{Proved(id, "X-Limit: 40\r\nConnection: close\r\n")};
+    });
+    EXPECT_EQ(Send(/*is_order=*/true, fmt::format("p{}", ++number)).status,
+              200);
+    ASSERT_EQ(backend_executor_.rate_limit(), 40);
+    server_.SetHandler(
+        [&bytes](const std::string& id, bool) { return Reply{bytes.For(id)}; });
+    SCOPED_TRACE(bytes.For("r"));
+    EXPECT_EQ(Send(true, fmt::format("r{}", ++number)).status, status);
+    EXPECT_EQ(backend_executor_.rate_limit(), 40);
+  }
+}
+
+// Guards against a deadly request that a failure without seal and id clears of
+// suspicion.
+TEST_F(BackendAnswerTest, AnUnprovedFailureClearsNoCrashSuspect) {
+  const auto content = coordination::ContentOf("GET", "shop", "/order/1", "");
+  coordination::CrashSuspects& suspects = backend_executor_.crash_suspects();
+  suspects.OnServerEnd(7, std::vector{content}, Now());
+  server_.SetHandler([](const std::string&, bool) {
+    return Reply{"HTTP/1.1 500 Text\r\nContent-Length: 0\r\n\r\n"};
+  });
+  EXPECT_EQ(Send(/*is_order=*/true, "r1").status, 500);
+  EXPECT_EQ(suspects.Judge(content, Now()),
+            coordination::CrashVerdict::kSuspect);
+}
+
+// Guards against a server's own answer that is replaced or repeated. An answer
+// to a GET with status 304 may state the length of a body that it does not
+// have, and interim answers may come first.
+TEST_F(BackendAnswerTest, AProvedAnswerBelow500ReachesTheCaller) {
+  int number = 0;
+  for (const int status : {200, 204, 206, 299, 300, 302, 304, 307, 400, 401,
+                           403, 404, 408, 409, 413, 422, 429, 451, 499}) {
+    const bool has_body = status != 204 && status != 304;
+    for (const bool is_order : {true, false}) {
+      for (const bool reused : {true, false}) {
+        for (const char* interim :
+             {"", "HTTP/1.1 100 Continue\r\n\r\n",
+              "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"}) {
+          const std::string id = fmt::format("r{}", ++number);
+          const Bytes bytes{status,
+                            kSeal,
+                            kOwnId,
+                            "",
+                            status == 204 ? "" : "Content-Length: 5\r\n",
+                            has_body ? "whole" : ""};
+          SCOPED_TRACE(fmt::format("order {}, reused {}, bytes {}{}", is_order,
+                                   reused, interim, bytes.For(id)));
+          PrepareConnection(reused);
+          server_.SetHandler([&](const std::string& request, bool) {
+            return Reply{interim + bytes.For(request)};
+          });
+          const HttpResponse response = Send(is_order, id);
+          EXPECT_EQ(response.status, status);
+          EXPECT_EQ(FieldOf(response.headers, "X-Seal"), "seal");
+          EXPECT_EQ(response.body, has_body ? "whole" : "");
+          EXPECT_EQ(CountArrivals(id), 1U);
+        }
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace sesamespread::transport
