Test that no valid form of a request is refused

ServesAllValidFormsOfARequest sends lengths, chunks of all sizes with extensions and trailers, long header fields, empty lines between requests and up to eight pipelined requests, in random pieces.

--- a/unittests/transport/http_server_test.cc
+++ b/unittests/transport/http_server_test.cc
@@ -3,9 +3,12 @@
 /// its resources without limit, or miss the end of a connection.
 #include "sesamespread/transport/http_server.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
+#include <random>
 #include <vector>
 
 #include "sesamespread/state/settings.h"
@@ -125,6 +128,84 @@
   }
 }
 
+// Guards against a valid request that is refused because of its form, the
+// pieces in which it arrives, or the requests sent before and behind it.
+TEST_F(HttpServerTest, ServesAllValidFormsOfARequest) {
+  HttpServerOptions options;
+  options.max_header_bytes = 64 << 10;
+  options.max_body_bytes = 4 << 20;
+  options.on_rejection = [](const Rejection& rejection) {
+    ADD_FAILURE() << rejection.status << " " << rejection.detail;
+  };
+  Start(options);
+  std::mt19937_64 random(43);
+  const auto below = [&random](std::size_t bound) {
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
+  };
+  const auto chunked = [&](const std::string& body) {
+    const bool is_small = below(2) == 0;
+    std::string bytes;
+    std::size_t offset = 0;
+    while (offset < body.size()) {
+      const std::size_t size =
+          std::min(body.size() - offset, 1 + below(is_small ? 16 : 64 << 10));
+      bytes += below(2) == 0 ? fmt::format("{:x}", size)
+                             : fmt::format("{:04X}", size);
+      bytes += below(8) == 0 ? ";name=\"value\"\r\n" : "\r\n";
+      bytes += body.substr(offset, size) + "\r\n";
+      offset += size;
+    }
+    return bytes + (below(4) == 0 ? "0\r\nX-Trailer: a\r\n\r\n" : "0\r\n\r\n");
+  };
+  for (int round = 0; round < 20; ++round) {
+    SCOPED_TRACE(round);
+    std::string sent;
+    std::string expected;
+    const std::size_t count = 1 + below(8);
+    for (std::size_t i = 0; i < count; ++i) {
+      const std::string target =
+          fmt::format("/r{}?a={}%20b", i, std::string(below(300), 'q'));
+      const std::string body(below(3) == 0 ? below(300 << 10) : below(300),
+                             'b');
+      const std::size_t form = below(4);
+      sent += below(6) == 0 ? "\r\n" : "";
+      sent +=
+          fmt::format("{} {} HTTP/1.1\r\n",
+                      form == 0 ? "GET" : (form == 1 ? "PUT" : "POST"), target);
+      sent += below(2) == 0 ? "Host: h:80\r\n" : "hOST:h\r\n";
+      if (below(2) == 0)
+        sent +=
+            fmt::format("X-Long: {}\r\n", std::string(below(15 << 10), 'l'));
+      if (below(4) == 0)
+        sent += "Connection: Keep-Alive\r\nX-Empty:\r\nX-Utf: \xc3\xa9\r\n";
+      if (form == 0)
+        sent += "\r\n";
+      else if (form == 1)
+        sent += fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
+      else
+        sent += "Transfer-Encoding: Chunked\r\n\r\n" + chunked(body);
+      const std::string answer = target + (form == 0 ? "" : body);
+      expected += fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                              answer.size(), answer);
+    }
+    RawPeer peer = Connect();
+    const bool in_small_pieces = sent.size() < 20'000 && below(2) == 0;
+    std::string_view rest = sent;
+    ASSERT_TRUE(RunUntil(context_, [&] {
+      if (!rest.empty()) {
+        const std::size_t size =
+            std::min(rest.size(), 1 + below(in_small_pieces ? 20 : 30 << 10));
+        boost::system::error_code error;
+        rest.remove_prefix(peer.socket().write_some(
+            boost::asio::buffer(rest.data(), size), error));
+      }
+      peer.Poll();
+      return peer.received().size() >= expected.size();
+    }));
+    ASSERT_EQ(peer.received(), expected);
+  }
+}
+
 // If two HTTP implementations can disagree about the end of a message, a caller
 // can smuggle a second request past the checks of the node.
 TEST_F(HttpServerTest, RefusesMessagesWithAnAmbiguousEnd) {
