Answer a request that was cut short with 408 in place of 400

What callers saw: 400 for a valid request of which only the end was missing, because its connection ended in one direction while it was sent. Callers take 400 for their own error and do not repeat the request; on the users' pages it counts as a proper request that was turned away (DENIED). Cause: the end of the input inside a request was answered like a syntax error, although all that had arrived was valid. Requests that are malformed get 400 as before.

--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -492,7 +492,8 @@
     end_of_input_ = true;
     const bool half_closed = error == boost::asio::error::eof;
     if (phase_ == Phase::kReceiving && half_closed) {
-      SendProblem(state::ResultCode::kMalformedRequest,
+      // What has arrived is valid, so that the caller may send it again.
+      SendProblem(state::ResultCode::kRequestTimeout,
                   "the request was cut short");
       return;
     }
